Serve a request from one end to the other

Cause: nothing existed yet.

Change: the whole path, thin, as separate processes: entry instances, platform stand-in and target stand-ins over TCP.

--- /dev/null
+++ b/cmd/lycheehalld/main.go
@@ -0,0 +1,115 @@
+// Command lycheehalld is one entry instance of lycheehall.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/integrii/flaggy"
+
+	"lycheehall.example/lycheehall/server"
+	"lycheehall.example/lycheehall/settings"
+	"lycheehall.example/lycheehall/transport/platform"
+	"lycheehall.example/lycheehall/transport/rpc"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// version is printed by --version.
+const version = "0.1.0"
+
+// options are the flags of the command.
+type options struct {
+	settings      string
+	check         bool
+	printDefaults bool
+	standalone    bool
+	rules         string
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	flaggy.SetName("lycheehalld")
+	flaggy.SetDescription("Routes callers' requests to the targets that own their keys.")
+	flaggy.SetVersion(version)
+	flaggy.String(&o.settings, "s", "settings", "Settings file.")
+	flaggy.Bool(&o.check, "", "check", "Check the settings and exit.")
+	flaggy.Bool(&o.printDefaults, "", "print-defaults", "Print a settings file with the defaults and exit.")
+	flaggy.Bool(&o.standalone, "", "standalone", "Run with an embedded platform and sample targets.")
+	flaggy.String(&o.rules, "", "rules", "Rules for --standalone in place of the example.")
+	flaggy.Parse()
+	switch {
+	case o.printDefaults:
+		return printDefaults()
+	case o.standalone:
+		return serveStandalone(o.rules)
+	case o.settings == "":
+		fmt.Fprintln(os.Stderr, "lycheehalld: give --settings FILE, or --standalone")
+		return exitSettings
+	}
+	s, err := settings.Load(o.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.check {
+		fmt.Println("the settings are valid")
+		return exitOK
+	}
+	return serve(s)
+}
+
+func printDefaults() int {
+	text, err := settings.Print(settings.Default())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	fmt.Print(text)
+	return exitOK
+}
+
+func serve(s settings.Settings) int {
+	pool := rpc.NewPool(s.Secret)
+	defer pool.Close()
+	// The level has been checked with the settings.
+	level, _ := log.ParseLevel(s.LogLevel)
+	logger, current := server.NewLogger(os.Stderr, level)
+	srv, err := server.New(s, platform.NewClient(s.Platform, pool), logger, current)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	return serveUntilSignal(srv)
+}
+
+// serveUntilSignal serves until the first signal, then shuts down gracefully; a second
+// signal ends the process at once.
+func serveUntilSignal(srv *server.Server) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := srv.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	srv.Stop(ctx)
+	return exitOK
+}
--- /dev/null
+++ b/coordination/ownership/map.go
@@ -0,0 +1,128 @@
+// Package ownership holds the map from slots to targets, its changes, and the part of
+// it that is granted to each target.
+//
+// The invariant: the version of a map grows by one with each change, and every
+// instance applies the same changes in the same order. A slot changes owner in two
+// changes: the first takes it from the old owner and raises its fence, the second
+// gives it to the new one. Between them nobody owns it.
+package ownership
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheehall.example/lycheehall/state"
+)
+
+// ErrGap says that a change does not follow the version of the map it is applied to.
+var ErrGap = errors.New("ownership: the change does not follow this map")
+
+// Map is an immutable picture of all services at one version.
+type Map struct {
+	Version  uint64
+	Services map[string]*state.ServiceSlots
+}
+
+// SlotChange gives a slot its new value.
+type SlotChange struct {
+	Index int
+	Slot  state.Slot
+}
+
+// Change leads from map version Version-1 to Version. It touches one service.
+type Change struct {
+	Version uint64
+	Service string
+	// SlotCount is the number of slots of the service, fixed when it is created.
+	SlotCount int
+	Slots     []SlotChange
+	// Targets is the whole list of targets after the change.
+	Targets []state.Target
+}
+
+// Empty returns the map of a deployment that has no services yet.
+func Empty() *Map {
+	return &Map{Services: map[string]*state.ServiceSlots{}}
+}
+
+// Apply returns the map after the change. m is left as it is.
+func (m *Map) Apply(c Change) (*Map, error) {
+	if c.Version != m.Version+1 {
+		return nil, fmt.Errorf("%w: change %d, map %d", ErrGap, c.Version, m.Version)
+	}
+	next := &Map{Version: c.Version, Services: maps.Clone(m.Services)}
+	next.Services[c.Service] = applyService(m.Services[c.Service], c)
+	return next, nil
+}
+
+func applyService(old *state.ServiceSlots, c Change) *state.ServiceSlots {
+	s := &state.ServiceSlots{Service: c.Service, Targets: slices.Clone(c.Targets)}
+	s.Slots = make([]state.Slot, c.SlotCount)
+	touched := map[string]bool{}
+	if old != nil {
+		copy(s.Slots, old.Slots)
+	}
+	for _, sc := range c.Slots {
+		touched[s.Slots[sc.Index].Owner] = true
+		touched[sc.Slot.Owner] = true
+		sc.Slot.Since = c.Version
+		s.Slots[sc.Index] = sc.Slot
+	}
+	for i := range s.Targets {
+		if touched[s.Targets[i].ID] {
+			s.Targets[i].Generation = c.Version
+		}
+	}
+	return s
+}
+
+// SlotOf returns the slot of a key among count slots.
+func SlotOf(key string, count int) int {
+	return int(xxhash.Sum64String(key) % uint64(count))
+}
+
+// Held lists the slots that a target owns, with their fences.
+type Held struct {
+	Index int
+	Fence uint64
+}
+
+// HeldBy returns the slots that a target owns in this map. Slots between owners
+// belong to nobody.
+func (m *Map) HeldBy(service, target string) []Held {
+	var out []Held
+	s := m.Services[service]
+	if s == nil {
+		return nil
+	}
+	for i, slot := range s.Slots {
+		if slot.Owner == target && !slot.Moving() {
+			out = append(out, Held{i, slot.Fence})
+		}
+	}
+	return out
+}
+
+// ServiceNames returns the names of all services in alphabetical order.
+func (m *Map) ServiceNames() []string {
+	return slices.Sorted(maps.Keys(m.Services))
+}
+
+// ServiceSpec is what the configuration says about a service.
+type ServiceSpec struct {
+	Name string
+	// Slots is the number of slots keys are spread over; 0 for a service without keys.
+	Slots int
+	// Fenced says that the targets check grants and fences. For targets that check
+	// nothing, exclusion rests on the callers' side alone.
+	Fenced bool
+	// MovesPerMinute bounds the slots moved for balance alone.
+	MovesPerMinute int
+	// Imbalance is the ratio of the fullest target to the mean from which on slots are
+	// moved for balance.
+	Imbalance float64
+}
--- /dev/null
+++ b/protocol/rules/check.go
@@ -0,0 +1,261 @@
+package rules
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds and defaults of the fields.
+const (
+	MaxSlots           = 16384
+	MaxRules           = 1000
+	MaxDeadline        = 60 * time.Second
+	DefaultDeadline    = 3 * time.Second
+	DefaultConcurrency = 6
+	DefaultConnections = 10
+	DefaultRetryShare  = 0.1
+)
+
+var knownMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// checker collects mistakes, together with the place it is looking at.
+type checker struct {
+	name     string
+	text     string
+	services map[string]*Service
+	line     int
+	where    string
+	mistakes Mistakes
+}
+
+func check(name, text string, f *file) Mistakes {
+	c := &checker{name: name, text: text, services: map[string]*Service{}}
+	for i := range f.Service {
+		c.service(i, &f.Service[i])
+	}
+	if len(f.Rule) > MaxRules {
+		c.line, c.where = 0, ""
+		c.add("rule", "there are %d rules; at most %d are accepted", len(f.Rule), MaxRules)
+	}
+	names := map[string]int{}
+	for i := range f.Rule {
+		c.rule(i, &f.Rule[i], names)
+	}
+	c.reachability(f)
+	return c.mistakes
+}
+
+func (c *checker) add(field, format string, args ...any) {
+	c.mistakes = append(c.mistakes, Mistake{File: c.name, Line: c.line, Where: c.where, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) at(table string, i int, name string) {
+	c.line = lineOf(c.text, table, i)
+	c.where = fmt.Sprintf("%s %d", table, i+1)
+	if name != "" {
+		c.where += fmt.Sprintf(" %q", name)
+	}
+}
+
+// service checks one service and fills in its defaults.
+func (c *checker) service(i int, s *Service) {
+	c.at("service", i, s.Name)
+	if s.Name == "" {
+		c.add("name", "is missing; give the service a name")
+	} else if strings.ContainsAny(s.Name, "/ \t") {
+		c.add("name", "must not contain spaces or slashes")
+	} else if c.services[s.Name] != nil {
+		c.add("name", "another service is called %q too; names must differ", s.Name)
+	}
+	c.services[s.Name] = s
+	if s.Slots < 0 || s.Slots > MaxSlots {
+		c.add("slots", "is %d; write 0 for a service without keys, or 1 to %d", s.Slots, MaxSlots)
+	}
+	c.serviceLimits(s)
+	c.placement(s)
+}
+
+func (c *checker) serviceLimits(s *Service) {
+	if s.Fencing == "" {
+		s.Fencing = FencingChecked
+	}
+	if s.Fencing != FencingChecked && s.Fencing != FencingNone {
+		c.add("fencing", "is %q; write %q or %q", s.Fencing, FencingChecked, FencingNone)
+	}
+	c.positive("concurrency", &s.Concurrency, DefaultConcurrency)
+	c.positive("connections", &s.Connections, DefaultConnections)
+}
+
+func (c *checker) positive(field string, v *int, standard int) {
+	if *v < 0 {
+		c.add(field, "is %d; write a number above 0, or leave it out for %d", *v, standard)
+	}
+	if *v == 0 {
+		*v = standard
+	}
+}
+
+func (c *checker) placement(s *Service) {
+	moves, imbalance := 60, 1.1
+	switch s.Preset {
+	case "":
+		s.Preset = PresetAvailability
+	case PresetAvailability:
+	case PresetChurn:
+		moves, imbalance = 6, 1.5
+	default:
+		c.add("preset", "is %q; write %q or %q", s.Preset, PresetAvailability, PresetChurn)
+	}
+	if s.MovesPerMinute == nil {
+		s.MovesPerMinute = &moves
+	}
+	if *s.MovesPerMinute < 0 {
+		c.add("moves_per_minute", "is %d; write 0 for none, or a number above", *s.MovesPerMinute)
+	}
+	if s.Imbalance == 0 {
+		s.Imbalance = imbalance
+	}
+	if s.Imbalance < 1 {
+		c.add("imbalance", "is %v; it is a ratio of at least 1", s.Imbalance)
+	}
+}
+
+func (c *checker) rule(i int, r *Rule, names map[string]int) {
+	c.at("rule", i, r.Name)
+	if r.Name == "" {
+		c.add("name", "is missing; give the rule a name")
+	} else if first, taken := names[r.Name]; taken {
+		c.add("name", "rule %d is called %q too; names must differ", first+1, r.Name)
+	}
+	names[r.Name] = i
+	c.when("when", &r.When)
+	c.then(r)
+}
+
+func (c *checker) when(field string, w *When) {
+	for _, m := range w.Method {
+		if !slices.Contains(knownMethods, m) {
+			c.add(field+".method", "%q is not a method; write one of %s", m, strings.Join(knownMethods, ", "))
+		}
+	}
+	if w.Path != "" {
+		if _, err := parsePattern(w.Path); err != nil {
+			c.add(field+".path", "%v", err)
+		}
+	}
+	for name := range w.Header {
+		if name == "" || strings.ContainsAny(name, " :\t") {
+			c.add(field+".header", "%q is not the name of a header", name)
+		}
+	}
+	for i := range w.All {
+		c.when(fmt.Sprintf("%s.all[%d]", field, i), &w.All[i])
+	}
+	for i := range w.Any {
+		c.when(fmt.Sprintf("%s.any[%d]", field, i), &w.Any[i])
+	}
+	if w.Not != nil {
+		c.when(field+".not", w.Not)
+	}
+}
+
+func (c *checker) then(r *Rule) {
+	t := &r.Then
+	switch {
+	case t.Route == "" && t.Refuse == nil:
+		c.add("then", "does nothing; write route = \"SERVICE\" or refuse = { status = … }")
+	case t.Route != "" && t.Refuse != nil:
+		c.add("then", "has both route and refuse; keep one")
+	case t.Refuse != nil:
+		c.refuse(t.Refuse)
+	default:
+		c.route(r)
+	}
+	if t.Limit != nil {
+		c.limit(t.Limit)
+	}
+}
+
+func (c *checker) refuse(r *Refuse) {
+	if r.Status < 400 || r.Status > 599 {
+		c.add("then.refuse.status", "is %d; write a status from 400 to 599", r.Status)
+	}
+	if r.RetryAfter < 0 {
+		c.add("then.refuse.retry_after", "is negative; write a time such as \"30s\"")
+	}
+}
+
+func (c *checker) limit(l *Limit) {
+	if l.PerSecond < 0 || l.Burst < 0 || l.Concurrent < 0 {
+		c.add("then.limit", "has a negative number; write 0 for no bound")
+	}
+	if l.PerSecond == 0 && l.Concurrent == 0 {
+		c.add("then.limit", "bounds nothing; set per_second or concurrent, or leave it out")
+	}
+	if l.Burst == 0 {
+		l.Burst = max(1, int(l.PerSecond))
+	}
+}
+
+func (c *checker) route(r *Rule) {
+	t := &r.Then
+	s := c.services[t.Route]
+	if s == nil {
+		c.add("then.route", "there is no service %q; add a [[service]] with this name", t.Route)
+		return
+	}
+	if t.Deadline < 0 || time.Duration(t.Deadline) > MaxDeadline {
+		c.add("then.deadline", "is %v; write a time above 0 and up to %v", time.Duration(t.Deadline), MaxDeadline)
+	}
+	if t.Deadline == 0 {
+		t.Deadline = Duration(DefaultDeadline)
+	}
+	if t.RetryShare != nil && (*t.RetryShare < 0 || *t.RetryShare > 1) {
+		c.add("then.retry_share", "is %v; write a share from 0 to 1", *t.RetryShare)
+	}
+	c.key(r, s)
+}
+
+func (c *checker) key(r *Rule, s *Service) {
+	t := &r.Then
+	if s.Slots == 0 {
+		if t.Key != "" {
+			c.add("then.key", "the service %q has no slots and takes no key; set slots, or leave the key out", s.Name)
+		}
+		return
+	}
+	if t.Target != "" || t.DataCentre != "" {
+		c.add("then", "target and data_centre are for services without keys; the owner of the key decides here")
+	}
+	if t.Key == "" {
+		c.add("then.key", "is missing; the service %q is divided by key: write \"path:NAME\", \"header:NAME\" or \"query:NAME\"", s.Name)
+		return
+	}
+	source, name, found := parseKey(t.Key)
+	if !found {
+		c.add("then.key", "is %q; write \"path:NAME\", \"header:NAME\" or \"query:NAME\"", t.Key)
+		return
+	}
+	if source == fromPath && !hasVariable(r.When.Path, name) {
+		c.add("then.key", "the path %q has no variable {%s}", r.When.Path, name)
+	}
+}
+
+// reachability reports rules that an earlier rule always decides before them.
+func (c *checker) reachability(f *file) {
+	for j := range f.Rule {
+		for i := range f.Rule[:j] {
+			if covers(&f.Rule[i].When, &f.Rule[j].When) {
+				c.at("rule", j, f.Rule[j].Name)
+				c.add("when", "can never match: rule %d %q above matches all of it; move this rule up", i+1, f.Rule[i].Name)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/protocol/rules/parse.go
@@ -0,0 +1,94 @@
+package rules
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// MaxText is the largest configuration accepted, in bytes.
+const MaxText = 256 << 10
+
+// Parse reads and checks a configuration. name is used in mistakes. The error is of
+// type Mistakes and lists everything found.
+func Parse(name, text string) (*Set, error) {
+	if len(text) > MaxText {
+		return nil, Mistakes{{File: name, Message: fmt.Sprintf("the file has %d bytes; at most %d are accepted", len(text), MaxText)}}
+	}
+	var f file
+	mistakes := decode(name, text, &f)
+	mistakes = append(mistakes, check(name, text, &f)...)
+	if len(mistakes) > 0 {
+		return nil, mistakes
+	}
+	return compile(&f), nil
+}
+
+// decode reads the text and reports syntax errors, wrong types and unknown fields.
+func decode(name, text string, f *file) Mistakes {
+	dec := toml.NewDecoder(strings.NewReader(text)).DisallowUnknownFields()
+	err := dec.Decode(f)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return unknownFields(name, text, strict)
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		return Mistakes{{File: name, Line: line, Where: whereAt(text, line), Field: strings.Join(bad.Key(), "."), Message: bad.Error()}}
+	}
+	return Mistakes{{File: name, Message: err.Error()}}
+}
+
+func unknownFields(name, text string, strict *toml.StrictMissingError) Mistakes {
+	var out Mistakes
+	for i := range strict.Errors {
+		e := &strict.Errors[i]
+		line, _ := e.Position()
+		out = append(out, Mistake{
+			File:    name,
+			Line:    line,
+			Where:   whereAt(text, line),
+			Field:   strings.Join(e.Key(), "."),
+			Message: "unknown field; see docs/RULES.md for the fields there are",
+		})
+	}
+	return out
+}
+
+// whereAt names the service or rule that a line belongs to.
+func whereAt(text string, line int) string {
+	counts := map[string]int{}
+	where := ""
+	for i, l := range strings.Split(text, "\n") {
+		if i >= line {
+			break
+		}
+		for _, table := range []string{"service", "rule"} {
+			if strings.HasPrefix(strings.TrimSpace(l), "[["+table+"]]") {
+				counts[table]++
+				where = fmt.Sprintf("%s %d", table, counts[table])
+			}
+		}
+	}
+	return where
+}
+
+// lineOf returns the line at which the n-th table (counted from 0) begins, or 0.
+func lineOf(text, table string, n int) int {
+	for i, l := range strings.Split(text, "\n") {
+		if !strings.HasPrefix(strings.TrimSpace(l), "[["+table+"]]") {
+			continue
+		}
+		if n == 0 {
+			return i + 1
+		}
+		n--
+	}
+	return 0
+}
--- /dev/null
+++ b/protocol/rules/types.go
@@ -0,0 +1,180 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration written as text, such as "250ms" or "2s".
+type Duration time.Duration
+
+// UnmarshalText reads the form that time.ParseDuration takes.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("write a duration such as \"250ms\" or \"2s\", not %q", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// file is the configuration as written.
+type file struct {
+	Service []Service `toml:"service"`
+	Rule    []Rule    `toml:"rule"`
+}
+
+// Fencing says what a service's targets check.
+type Fencing string
+
+// The kinds of fencing.
+const (
+	// FencingChecked: targets accept grants and refuse requests without a valid one.
+	FencingChecked Fencing = "checked"
+	// FencingNone: targets check nothing; exclusion rests on sessions and deadlines.
+	FencingNone Fencing = "none"
+)
+
+// Service describes a group of targets.
+type Service struct {
+	// Name is unique in the file.
+	Name string `toml:"name"`
+	// Slots is the number of slots that keys are spread over, 1 to 16384. It cannot be
+	// changed later. Without it the service takes no keys.
+	Slots int `toml:"slots"`
+	// Fencing is "checked" (default) or "none".
+	Fencing Fencing `toml:"fencing"`
+	// Concurrency is how many requests one target runs at a time. Default 6.
+	Concurrency int `toml:"concurrency"`
+	// Connections is how many connections one instance keeps to one target. Default 10.
+	Connections int `toml:"connections"`
+	// Preset chooses the weights of placement: "availability" (default) or "churn".
+	Preset Preset `toml:"preset"`
+	// MovesPerMinute bounds moves for balance. Default by preset: 60 or 6.
+	MovesPerMinute *int `toml:"moves_per_minute"`
+	// Imbalance is the ratio of the fullest target to the mean from which on slots move
+	// for balance. Default by preset: 1.1 or 1.5.
+	Imbalance float64 `toml:"imbalance"`
+}
+
+// Preset names a set of weights for placement.
+type Preset string
+
+// The presets.
+const (
+	PresetAvailability Preset = "availability"
+	PresetChurn        Preset = "churn"
+)
+
+// Rule is one "when … then …".
+type Rule struct {
+	// Name is unique in the file and appears in logs, metrics and answers.
+	Name string `toml:"name"`
+	When When   `toml:"when"`
+	Then Then   `toml:"then"`
+}
+
+// When is a condition. All fields that are set must hold; an empty condition always
+// holds.
+type When struct {
+	// Method lists HTTP methods, one of which must match.
+	Method []string `toml:"method"`
+	// Host lists host names, one of which must match; the port is ignored.
+	Host []string `toml:"host"`
+	// Path is a pattern such as /jobs/{job}/status; {rest...} matches the remainder.
+	Path string `toml:"path"`
+	// Header maps header names to values; the value "*" asks for presence only.
+	Header map[string]string `toml:"header"`
+	// Caller lists callers, one of which must match.
+	Caller []string `toml:"caller"`
+	// DataCentre lists data centres, one of which must be the instance's own.
+	DataCentre []string `toml:"data_centre"`
+	// All, Any and Not combine further conditions.
+	All []When `toml:"all"`
+	Any []When `toml:"any"`
+	Not *When  `toml:"not"`
+}
+
+// Then is what happens to a request. Either Route or Refuse is set.
+type Then struct {
+	// Route names the service that runs the request.
+	Route string `toml:"route"`
+	// Key says where the key is: "path:NAME", "header:NAME" or "query:NAME". A service
+	// with slots needs it.
+	Key string `toml:"key"`
+	// Idempotent says that running the request twice does the same as running it once.
+	Idempotent bool `toml:"idempotent"`
+	// Deadline is the time for the whole request. Default 3s, at most 60s.
+	Deadline Duration `toml:"deadline"`
+	// RetryShare bounds retries to a share of the rule's requests, 0 to 1. Default 0.1.
+	// Only idempotent requests are tried again after they may have run.
+	RetryShare *float64 `toml:"retry_share"`
+	// Limit bounds the requests that the rule lets through on each instance.
+	Limit *Limit `toml:"limit"`
+	// Refuse answers the request without running it.
+	Refuse *Refuse `toml:"refuse"`
+	// DataCentre prefers targets in this data centre; for services without keys.
+	DataCentre string `toml:"data_centre"`
+	// Target pins the requests to one target; for services without keys.
+	Target string `toml:"target"`
+}
+
+// Limit bounds requests on each instance. Requests above it are refused at once.
+type Limit struct {
+	// PerSecond is the rate, with bursts of up to Burst. 0 sets no bound.
+	PerSecond float64 `toml:"per_second"`
+	// Burst defaults to PerSecond, at least 1.
+	Burst int `toml:"burst"`
+	// Concurrent is the number of requests under way at a time. 0 sets no bound.
+	Concurrent int `toml:"concurrent"`
+}
+
+// Refuse is a fixed answer.
+type Refuse struct {
+	// Status is the HTTP status, 400 to 599.
+	Status int `toml:"status"`
+	// Message is the text of the answer.
+	Message string `toml:"message"`
+	// RetryAfter tells the caller when to come back; rounded up to whole seconds.
+	RetryAfter Duration `toml:"retry_after"`
+}
+
+// Mistake is one thing wrong with a configuration.
+type Mistake struct {
+	File string
+	// Line is 0 when the mistake has no single place.
+	Line int
+	// Where names the service or rule, such as: rule 3 "status check".
+	Where   string
+	Field   string
+	Message string
+}
+
+func (m Mistake) String() string {
+	var b strings.Builder
+	b.WriteString(m.File)
+	if m.Line > 0 {
+		fmt.Fprintf(&b, ":%d", m.Line)
+	}
+	for _, part := range []string{m.Where, m.Field, m.Message} {
+		if part != "" {
+			b.WriteString(": " + part)
+		}
+	}
+	return b.String()
+}
+
+// Mistakes are all that is wrong with a configuration. It is an error.
+type Mistakes []Mistake
+
+func (m Mistakes) Error() string {
+	lines := make([]string, len(m))
+	for i, x := range m {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/transport/rpc/auth.go
@@ -0,0 +1,69 @@
+// Package rpc carries calls between processes over net/rpc.
+//
+// Both ends of a connection prove that they know the shared secret before the first
+// call: not every process that reaches the port is to be obeyed.
+package rpc
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// ErrAuth says that the other end does not know the shared secret.
+var ErrAuth = errors.New("rpc: the other end does not know the shared secret")
+
+const (
+	challengeLen = 32
+	// handshakeTimeout bounds the time an unknown process can hold a connection.
+	handshakeTimeout = 2 * time.Second
+
+	serverRole = "lycheehall server"
+	clientRole = "lycheehall client"
+)
+
+// proof answers a challenge. The role keeps an answer from being played back to its
+// own sender; both challenges keep it from being used on another connection.
+func proof(secret, role string, server, client []byte) []byte {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte(role))
+	mac.Write(server)
+	mac.Write(client)
+	return mac.Sum(nil)
+}
+
+// handshake is one side's part: mine and theirs are the roles of the two ends.
+func handshake(conn net.Conn, secret, mine, theirs string) error {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return fmt.Errorf("rpc: handshake: %w", err)
+	}
+	own := make([]byte, challengeLen)
+	rand.Read(own)
+	if _, err := conn.Write(own); err != nil {
+		return fmt.Errorf("rpc: handshake: %w", err)
+	}
+	other := make([]byte, challengeLen)
+	if _, err := io.ReadFull(conn, other); err != nil {
+		return fmt.Errorf("rpc: handshake: %w", err)
+	}
+	server, client := own, other
+	if mine == clientRole {
+		server, client = other, own
+	}
+	if _, err := conn.Write(proof(secret, mine, server, client)); err != nil {
+		return fmt.Errorf("rpc: handshake: %w", err)
+	}
+	answer := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return fmt.Errorf("rpc: handshake: %w", err)
+	}
+	if !hmac.Equal(answer, proof(secret, theirs, server, client)) {
+		return ErrAuth
+	}
+	return conn.SetDeadline(time.Time{})
+}
