--- a/coordination/authority/inputs.go
+++ b/coordination/authority/inputs.go
@@ -15,6 +15,7 @@
 		m.ready = nil
 		return m.take()
 	}
+	m.answeredAt = now
 	if m.steadySince == clock.Never {
 		m.steadySince = now
 	}
@@ -137,6 +138,7 @@
 	if p.thaw {
 		wait = m.cfg.Session
 	}
+	m.thawed = p.thaw
 	m.quietUntil = now
 	if p.write.Expect != 0 {
 		m.quietUntil = now.Add(wait + m.cfg.Margin)
@@ -155,7 +157,7 @@
 	case Commit:
 		m.onCommit(msg)
 	case LeaveQuery:
-		if m.canLeave(now, msg.Stage) && m.steadySince != clock.Never {
+		if m.canLeave(now, msg.Stage) && m.answering(now) {
 			m.send(msg.From, LeaveReady, msg.Stage)
 		}
 	case Leave:
@@ -184,6 +186,7 @@
 	m.named = slices.Clone(msg.Named)
 	m.acks = nil
 	m.resetLeave()
+	m.steadySince = clock.Never
 	m.setMode(Promised)
 	m.send(msg.From, PrepareAck, msg.Stage)
 }
--- a/coordination/authority/machine.go
+++ b/coordination/authority/machine.go
@@ -24,8 +24,10 @@
 	rowSince clock.Instant
 	// steadySince is since when every read has been answered; Never after a failure.
 	steadySince clock.Instant
-	nextRead    clock.Instant
-	reading     bool
+	// answeredAt is when the last read was answered.
+	answeredAt clock.Instant
+	nextRead   clock.Instant
+	reading    bool
 
 	// leaseEnd is when the right to lead ends, counted from before the write was sent.
 	leaseEnd clock.Instant
@@ -51,6 +53,8 @@
 	candidates []string
 	// versions is the state this instance holds, as last told by the driver.
 	versions Versions
+	// thawed says that this instance took the row after a freeze.
+	thawed bool
 
 	effects []Effect
 }
@@ -61,6 +65,7 @@
 		cfg:         cfg,
 		rowSince:    clock.Never,
 		steadySince: clock.Never,
+		answeredAt:  clock.Never,
 		leaseEnd:    clock.Never,
 		missing:     map[string]clock.Instant{},
 	}
@@ -113,6 +118,10 @@
 // can be alive. A change that needs old sessions to be gone waits for it.
 func (m *Machine) QuietAt() clock.Instant { return m.quietUntil }
 
+// Thawed reports whether this instance leads since the end of a freeze: then Frozen is the
+// state that sessions may still be using.
+func (m *Machine) Thawed() bool { return m.mode == Leading && m.thawed }
+
 // SetVersions tells the machine which state this instance holds.
 func (m *Machine) SetVersions(v Versions) { m.versions = v }
 
@@ -354,6 +363,7 @@
 	m.named = m.row.Members()
 	m.acks = nil
 	m.resetLeave()
+	m.steadySince = clock.Never
 	m.setMode(Preparing)
 	m.prepare(now)
 }
@@ -442,9 +452,16 @@
 // rank spreads the attempts to leave: the leader of the row goes first.
 func (m *Machine) rank() int { return slices.Index(m.named, m.cfg.ID) }
 
+// answering reports whether the table has answered lately, and every time since the
+// freeze or the last failure. That no read has failed yet says nothing: the one under way
+// may be waiting in vain.
+func (m *Machine) answering(now clock.Instant) bool {
+	return m.steadySince != clock.Never && now < m.answeredAt.Add(2*m.cfg.ReadEvery)
+}
+
 // steady reports whether the table has answered long enough for this instance's rank.
 func (m *Machine) steady(now clock.Instant) bool {
-	if m.steadySince == clock.Never || m.rowSince == clock.Never {
+	if !m.answering(now) || m.rowSince == clock.Never {
 		return false
 	}
 	wait := m.cfg.SteadyFor + time.Duration(m.rank())*m.cfg.SteadyFor/2
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -61,6 +61,9 @@
 	Leader Peer
 	// Named lists all instances that may issue sessions during a store outage.
 	Named []Peer
+	// Resumed says that the state is frozen and that slots whose move was cut short are
+	// served by their former owner meanwhile; see ownership.Map.Resume.
+	Resumed bool
 	// Instances lists the ids of all instances with a session.
 	Instances []string
 	// Suspects are targets that every instance shall try to reach and report on.
@@ -81,11 +84,14 @@
 	From     Peer
 	Have     authority.Versions
 	Suspects uint64
+	// Resumed is what the sender was last told.
+	Resumed bool
 }
 
 // WatchReply answers a WatchRequest. It renews no session.
 type WatchReply struct {
 	Update   Update
+	Resumed  bool
 	Suspects SuspectList
 	Lamport  uint64
 }
--- a/coordination/node/change.go
+++ b/coordination/node/change.go
@@ -29,6 +29,11 @@
 	// ackedAt holds since when no live session uses a map older than the key.
 	ackedAt map[uint64]clock.Instant
 
+	// restart says that moves found in the table have to be begun anew.
+	restart bool
+	// loadedMap is the map version that was read from the table.
+	loadedMap uint64
+
 	proposals  []pendingProposal
 	everywhere uint64
 	nextPlan   clock.Instant
@@ -50,9 +55,11 @@
 // pendingChange is a transaction whose answer is awaited. The state is changed here only
 // after it is known to have taken effect in the table.
 type pendingChange struct {
-	id       uint64
-	txn      state.Txn
-	owned    *ownership.Change
+	id    uint64
+	txn   state.Txn
+	owned *ownership.Change
+	// full is set when the change is on top of a map that was not published.
+	full     *ownership.Map
 	rules    *state.Rules
 	token    uint64
 	inFlight bool
@@ -69,7 +76,7 @@
 	}
 	n.leader.reset()
 	n.ledger = newLedger(n.cfg)
-	n.wakeWatchers()
+	n.wakeWatchers(now)
 	n.heartbeat.next = now
 }
 
@@ -80,6 +87,10 @@
 		n.leaveUncertain()
 		return
 	}
+	if !n.leader.loaded && n.leader.change != nil && n.leader.change.full != nil {
+		n.resendChange(now)
+		return
+	}
 	if !n.leader.loaded {
 		n.load()
 		return
@@ -106,7 +117,7 @@
 // nextChange starts the most urgent change: rules, then keys that nobody serves, then
 // the membership and the plan.
 func (n *Node) nextChange(now clock.Instant) {
-	steps := []func(clock.Instant) bool{n.firstRules, n.nextProposal, n.finishMoves, n.plan}
+	steps := []func(clock.Instant) bool{n.restartMoves, n.firstRules, n.nextProposal, n.finishMoves, n.plan}
 	for _, step := range steps {
 		if step(now) {
 			return
@@ -172,15 +183,39 @@
 	for _, row := range rows {
 		n.leader.rows[row.Key] = row.Version
 	}
+	n.event(timeline.Event{Kind: timeline.StateLoaded, Term: term, Map: owned.Version, Rules: rules.Version})
+	n.settleLoaded(rules)
+	n.leader.loadedMap = owned.Version
+	if n.machine.Thawed() {
+		if c, found := owned.Undone(n.owned.Resume()); found {
+			n.undo(now, owned, c, rules)
+			return
+		}
+	}
+	n.startLeading(now, owned, rules)
+}
+
+// undo takes back what the table got while the frozen state was in use, before anybody is
+// told of it.
+func (n *Node) undo(now clock.Instant, loaded *ownership.Map, c ownership.Change, rules state.Rules) {
+	next, err := loaded.Apply(c)
+	if err != nil {
+		return
+	}
+	events := moveEvents(timeline.MoveBegun, c.Service, c.Slots)
+	n.commit(now, &pendingChange{full: next, rules: &rules, events: events}, mapWrites(next, c.Service))
+}
+
+// startLeading makes the loaded state known.
+func (n *Node) startLeading(now clock.Instant, owned *ownership.Map, rules state.Rules) {
 	n.leader.log = nil
 	n.leader.loaded = true
-	n.event(timeline.Event{Kind: timeline.StateLoaded, Term: term, Map: owned.Version, Rules: rules.Version})
+	n.leader.restart = true
 	u := message.Update{Full: owned}
 	if rules.Version > 0 {
 		u.Rules = &rules
 	}
-	n.adopt(u)
-	n.settleLoaded(rules)
+	n.adopt(now, u)
 	n.heartbeat.next = now
 }
 
@@ -245,15 +280,18 @@
 	}
 	switch outcome {
 	case authority.Applied:
-		n.applyChange(c)
+		n.applyChange(now, c)
 	case authority.Conflicted:
 		// An earlier try has landed, or the rows were not as thought: the table tells.
 		n.leader.loaded = false
+		if c.full != nil {
+			n.leader.change = nil
+		}
 	}
 }
 
 // applyChange makes a durable change known.
-func (n *Node) applyChange(c *pendingChange) {
+func (n *Node) applyChange(now clock.Instant, c *pendingChange) {
 	n.leader.change = nil
 	for _, w := range c.txn.Writes {
 		n.leader.rows[w.Key]++
@@ -261,6 +299,10 @@
 	for _, e := range c.events {
 		n.event(e)
 	}
+	if c.full != nil {
+		n.startLeading(now, c.full, *c.rules)
+		return
+	}
 	var u message.Update
 	if c.owned != nil {
 		n.leader.log = append(n.leader.log, *c.owned)
@@ -270,7 +312,7 @@
 		u.Changes = []ownership.Change{*c.owned}
 	}
 	u.Rules = c.rules
-	n.adopt(u)
+	n.adopt(now, u)
 	if c.token != 0 {
 		n.answerPropose(c.token, message.ProposalResult{Version: n.resultVersion(c)})
 	}
@@ -293,9 +335,14 @@
 	for i := range events {
 		events[i].Map = c.Version
 	}
-	head := state.MapHead{Version: next.Version, Services: next.ServiceNames()}
-	n.commit(now, &pendingChange{owned: &c, token: token, events: events}, []state.Write{
+	n.commit(now, &pendingChange{owned: &c, token: token, events: events}, mapWrites(next, c.Service))
+}
+
+// mapWrites returns the rows that hold a map in which one service has changed.
+func mapWrites(m *ownership.Map, service string) []state.Write {
+	head := state.MapHead{Version: m.Version, Services: m.ServiceNames()}
+	return []state.Write{
 		{Key: state.KeyMap, Value: state.Encode(head)},
-		{Key: state.SlotsKey(c.Service), Value: state.Encode(next.Services[c.Service])},
-	})
+		{Key: state.SlotsKey(service), Value: state.Encode(m.Services[service])},
+	}
 }
--- a/coordination/node/grants.go
+++ b/coordination/node/grants.go
@@ -8,6 +8,7 @@
 
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/message"
+	"lycheehall.example/lycheehall/coordination/ownership"
 	"lycheehall.example/lycheehall/state"
 )
 
@@ -55,9 +56,9 @@
 // duties returns the targets to look after, in order.
 func (n *Node) duties() []duty {
 	var out []duty
-	for _, service := range n.owned.ServiceNames() {
+	for _, service := range n.working.ServiceNames() {
 		spec := n.specs[service]
-		for _, t := range n.owned.Services[service].Targets {
+		for _, t := range n.working.Services[service].Targets {
 			if n.responsible(t.ID) || slices.Contains(n.suspects.Targets, t.ID) {
 				out = append(out, duty{service, t, spec.Fenced})
 			}
@@ -89,21 +90,22 @@
 		t = &targetState{service: d.service, lastOK: clock.Never, firstTry: now, next: clock.Never}
 		n.targets[d.target.ID] = t
 	}
+	generation := ownership.Generation(d.target)
 	// A change of the target's slots goes out at once.
-	due := now >= t.next || d.fenced && t.failures == 0 && t.confirmed < d.target.Generation
+	due := now >= t.next || d.fenced && t.failures == 0 && t.confirmed < generation
 	if t.inFlight || !due {
 		return
 	}
 	g := message.Grant{
 		Target:     d.target.ID,
 		Service:    d.service,
-		Generation: d.target.Generation,
+		Generation: generation,
 		Nonce:      t.nonce,
 		TTL:        n.grantTTL(t),
 	}
-	if t.needSlots || t.confirmed != d.target.Generation {
+	if t.needSlots || t.confirmed != generation {
 		g.Full = true
-		g.Slots = n.owned.HeldBy(d.service, d.target.ID)
+		g.Slots = n.working.HeldBy(d.service, d.target.ID)
 	}
 	t.inFlight = true
 	t.next = now.Add(n.cfg.GrantEvery)
--- a/coordination/node/heartbeat.go
+++ b/coordination/node/heartbeat.go
@@ -57,7 +57,7 @@
 	return message.HeartbeatRequest{
 		From:        n.cfg.Self,
 		Have:        n.Versions(),
-		Acked:       authority.Versions{Map: min(n.drained, n.owned.Version), Rules: n.rules.Version},
+		Acked:       authority.Versions{Map: n.acked(), Rules: n.rules.Version},
 		Confirmed:   confirmed,
 		Reachable:   reachable,
 		Unreachable: unreachable,
@@ -65,6 +65,15 @@
 	}
 }
 
+// acked returns the map version older than which this instance uses nothing. While moves
+// are undone it uses an assignment that no version of the map has.
+func (n *Node) acked() uint64 {
+	if n.resumed {
+		return 0
+	}
+	return min(n.drained, n.owned.Version)
+}
+
 // issuer returns the address to ask for a session. After a failure the others take
 // their turn: the row's leader, the named ones, and the seeds from the settings.
 func (n *Node) issuer() (string, bool) {
@@ -132,7 +141,8 @@
 	if len(reply.Instances) > 0 {
 		n.instances = reply.Instances
 	}
-	n.adopt(reply.Update)
+	n.adopt(now, reply.Update)
+	n.resume(reply.Resumed)
 	if n.ended {
 		return
 	}
@@ -163,7 +173,7 @@
 		return
 	}
 	n.watch.inFlight = true
-	req := message.WatchRequest{From: n.cfg.Self, Have: n.Versions(), Suspects: n.suspects.Version}
+	req := message.WatchRequest{From: n.cfg.Self, Have: n.Versions(), Suspects: n.suspects.Version, Resumed: n.resumed}
 	n.emit(Effect{SendWatch: &SendWatch{To: n.heartbeat.leader.Address, Request: req}})
 }
 
@@ -174,11 +184,12 @@
 		n.watch.next = now.Add(watchRetry)
 		return n.take()
 	}
-	if reply.Update.Empty() && reply.Suspects.Version == n.suspects.Version {
+	if reply.Update.Empty() && reply.Suspects.Version == n.suspects.Version && reply.Resumed == n.resumed {
 		n.watch.next = now.Add(watchRetry)
 	}
 	n.suspects = reply.Suspects
-	n.adopt(reply.Update)
+	n.adopt(now, reply.Update)
+	n.resume(reply.Resumed)
 	n.heartbeat.next = now
 	return n.take()
 }
--- a/coordination/node/issue.go
+++ b/coordination/node/issue.go
@@ -17,6 +17,7 @@
 	have  authority.Versions
 	// suspects is the version of the list of suspects the sender has.
 	suspects uint64
+	resumed  bool
 }
 
 // maxWatchers bounds the watches kept; the oldest is answered when one too many comes.
@@ -69,6 +70,7 @@
 	}
 	reply.Update = n.updateFor(req.Have)
 	reply.Suspects = n.leader.suspects
+	reply.Resumed = n.resuming(now)
 	n.ledger.Renew(now, session.Entry{
 		ID:          req.From.ID,
 		Address:     req.From.Address,
@@ -86,6 +88,13 @@
 	return reply
 }
 
+// resuming reports whether moves that were cut short are undone for the time being:
+// because nobody can finish them, or because a new leader has to wait before it may.
+func (n *Node) resuming(now clock.Instant) bool {
+	waiting := n.machine.Mode() == authority.Static || now < n.machine.QuietAt() || n.leader.restart
+	return waiting && n.owned.Resumable()
+}
+
 // updateFor returns what leads from the given versions to those of this node.
 func (n *Node) updateFor(have authority.Versions) message.Update {
 	var u message.Update
@@ -109,14 +118,14 @@
 // an AnswerWatch.
 func (n *Node) WatchReceived(now clock.Instant, token uint64, req message.WatchRequest) []Effect {
 	n.learn(req.From)
-	w := watcher{token: token, have: req.Have, suspects: req.Suspects}
-	if !n.mayIssue(now) || n.behind(w) {
-		n.answerWatch(w)
+	w := watcher{token: token, have: req.Have, suspects: req.Suspects, resumed: req.Resumed}
+	if !n.mayIssue(now) || n.behind(now, w) {
+		n.answerWatch(now, w)
 		return n.take()
 	}
 	n.watchers = append(n.watchers, w)
 	if len(n.watchers) > maxWatchers {
-		n.answerWatch(n.watchers[0])
+		n.answerWatch(now, n.watchers[0])
 		n.watchers = n.watchers[1:]
 	}
 	return n.take()
@@ -127,22 +136,22 @@
 	n.watchers = slices.DeleteFunc(n.watchers, func(w watcher) bool { return w.token == token })
 }
 
-func (n *Node) behind(w watcher) bool {
-	if w.suspects != n.leader.suspects.Version {
+func (n *Node) behind(now clock.Instant, w watcher) bool {
+	if w.suspects != n.leader.suspects.Version || w.resumed != n.resuming(now) {
 		return true
 	}
 	return w.have.Map < n.owned.Version || w.have.Rules < n.rules.Version
 }
 
-func (n *Node) answerWatch(w watcher) {
-	reply := message.WatchReply{Update: n.updateFor(w.have), Suspects: n.leader.suspects}
+func (n *Node) answerWatch(now clock.Instant, w watcher) {
+	reply := message.WatchReply{Update: n.updateFor(w.have), Suspects: n.leader.suspects, Resumed: n.resuming(now)}
 	n.emit(Effect{AnswerWatch: &AnswerWatch{Token: w.token, Reply: reply}})
 }
 
 // wakeWatchers answers every watch: each is behind now, or its sender must ask anew.
-func (n *Node) wakeWatchers() {
+func (n *Node) wakeWatchers(now clock.Instant) {
 	for _, w := range n.watchers {
-		n.answerWatch(w)
+		n.answerWatch(now, w)
 	}
 	n.watchers = nil
 }
@@ -152,4 +161,9 @@
 	for _, id := range n.ledger.Expire(now) {
 		n.event(timeline.Event{Kind: timeline.SessionExpired, Detail: id})
 	}
+	if n.resumed && n.mayIssue(now) && !n.resuming(now) {
+		// The others are to hear of it now, not with their next heartbeat.
+		n.wakeWatchers(now)
+		n.heartbeat.next = now
+	}
 }
--- a/coordination/node/moves.go
+++ b/coordination/node/moves.go
@@ -46,7 +46,7 @@
 	var suspects []string
 	for id, v := range votes {
 		suspects = append(suspects, id)
-		if 2*v > voters && (v > 1 || len(n.ledger.Entries()) == 1) {
+		if 2*v > voters && n.inMap(id) && (v > 1 || len(n.ledger.Entries()) == 1) {
 			n.setLost(id)
 		}
 	}
@@ -66,7 +66,7 @@
 	if !slices.Equal(suspects, n.leader.suspects.Targets) {
 		n.leader.suspects = message.SuspectList{Version: n.leader.suspects.Version + 1, Targets: suspects}
 		n.suspects = n.leader.suspects
-		n.wakeWatchers()
+		n.wakeWatchers(now)
 	}
 }
 
@@ -97,8 +97,10 @@
 	}
 }
 
-// noteAcked remembers since when each map version that a move waits for is the oldest
-// one in use. Sessions that a former issuer gave out count until they are surely over.
+// noteAcked remembers, for each map version that a move waits for, when the last instance
+// acknowledged it: from then on no grant is made out of an older one. Sessions that a
+// former issuer gave out count until they are surely over; those that have run out need
+// no acknowledgement, because their grants end with them.
 func (n *Node) noteAcked(now clock.Instant) {
 	if now < n.machine.QuietAt() {
 		return
@@ -110,7 +112,7 @@
 				continue
 			}
 			if _, noted := n.leader.ackedAt[s.Since]; !noted {
-				n.leader.ackedAt[s.Since] = now
+				n.leader.ackedAt[s.Since] = n.ledger.LastAck()
 			}
 		}
 	}
@@ -127,12 +129,45 @@
 	if s.Owner == "" || !spec.Fenced {
 		return true
 	}
-	if n.leader.confirmed[s.Owner] >= s.Since {
+	if n.leader.confirmed[s.Owner] >= 2*s.Since {
 		return true
 	}
 	return now >= at.Add(n.cfg.GrantTTL+n.cfg.Authority.Margin)
 }
 
+// restartMoves begins the moves that a new leader finds in the table anew. Their slots may
+// have been given back to their owners while the state was frozen: only a newer map
+// version makes instances stop using them and targets let go of them.
+func (n *Node) restartMoves(now clock.Instant) bool {
+	if !n.leader.restart || now < n.machine.QuietAt() {
+		return false
+	}
+	var waiting []ownership.Change
+	for _, name := range n.owned.ServiceNames() {
+		if c := n.restartService(n.owned.Services[name]); len(c.Slots) > 0 {
+			waiting = append(waiting, c)
+		}
+	}
+	n.leader.restart = len(waiting) > 1
+	if len(waiting) == 0 {
+		return false
+	}
+	first := waiting[0]
+	n.commitMap(now, first, 0, moveEvents(timeline.MoveBegun, first.Service, first.Slots))
+	return true
+}
+
+func (n *Node) restartService(service *state.ServiceSlots) ownership.Change {
+	c := ownership.Change{Service: service.Service, SlotCount: len(service.Slots), Targets: service.Targets}
+	for i, s := range service.Slots {
+		if s.Moving() && s.Since <= n.leader.loadedMap {
+			s.Fence++
+			c.Slots = append(c.Slots, ownership.SlotChange{Index: i, Slot: s})
+		}
+	}
+	return c
+}
+
 // finishMoves gives slots whose former owner has let go to their next owner.
 func (n *Node) finishMoves(now clock.Instant) bool {
 	for _, name := range n.owned.ServiceNames() {
@@ -143,8 +178,8 @@
 		}
 		var done []ownership.SlotChange
 		for i, s := range service.Slots {
-			if s.Moving() && !n.leader.lost[s.Next] && service.Target(s.Next) != nil && n.released(now, spec, s) {
-				done = append(done, ownership.SlotChange{Index: i, Slot: state.Slot{Owner: s.Next, Fence: s.Fence}})
+			if s.Moving() && s.Since > n.leader.loadedMap && !n.leader.lost[s.Next] && service.Target(s.Next) != nil && n.released(now, spec, s) {
+				done = append(done, ownership.SlotChange{Index: i, Slot: state.Slot{Owner: s.Next, Fence: s.Fence + 1}})
 			}
 		}
 		if len(done) > 0 {
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -78,7 +78,10 @@
 	effects []Effect
 
 	// The state this instance holds and the services in it.
-	owned   *ownership.Map
+	owned *ownership.Map
+	// working is owned, or what it is resumed to while the state is frozen.
+	working *ownership.Map
+	resumed bool
 	rules   state.Rules
 	specs   map[string]ownership.ServiceSpec
 	drained uint64
@@ -113,6 +116,7 @@
 		holder:    session.NewHolder(),
 		ledger:    session.NewLedger(cfg.Authority.Margin),
 		owned:     ownership.Empty(),
+		working:   ownership.Empty(),
 		specs:     map[string]ownership.ServiceSpec{},
 		addresses: map[string]message.Peer{},
 		targets:   map[string]*targetState{},
@@ -132,7 +136,7 @@
 
 // View returns what the request path is to work with.
 func (n *Node) View() View {
-	return View{Map: n.owned, Rules: n.rules, Until: n.holder.Until()}
+	return View{Map: n.working, Rules: n.rules, Until: n.holder.Until()}
 }
 
 // Tick lets time pass. The driver calls it every few tens of milliseconds, and after
@@ -299,7 +303,7 @@
 }
 
 // adopt takes in an update. Versions only go up: an older update is late and ignored.
-func (n *Node) adopt(u message.Update) {
+func (n *Node) adopt(now clock.Instant, u message.Update) {
 	changed := false
 	if u.Full != nil && u.Full.Version > n.owned.Version {
 		n.owned = u.Full
@@ -320,9 +324,27 @@
 		return
 	}
 	n.machine.SetVersions(n.Versions())
+	n.setWorking()
 	n.event(timeline.Event{Kind: timeline.ViewAdopted, Map: n.owned.Version, Rules: n.rules.Version})
 	n.publish()
-	n.wakeWatchers()
+	n.wakeWatchers(now)
+}
+
+// resume takes over whether moves that were cut short are undone for the time being.
+func (n *Node) resume(resumed bool) {
+	if resumed == n.resumed {
+		return
+	}
+	n.resumed = resumed
+	n.setWorking()
+	n.publish()
+}
+
+func (n *Node) setWorking() {
+	n.working = n.owned
+	if n.resumed {
+		n.working = n.owned.Resume()
+	}
 }
 
 // adoptRules reads the services of a configuration. A stored text has been checked
--- a/coordination/ownership/map.go
+++ b/coordination/ownership/map.go
@@ -80,6 +80,82 @@
 	return s
 }
 
+// Resume returns the map to work with while the state is frozen: slots that were on their
+// way from a living owner go back to it, because nobody can finish the move.
+//
+// The second change of such a move may have reached the table all the same. The next
+// leader therefore compares the table with the resumed map (see Undone), and begins every
+// move anew, with a newer generation than the resumed one.
+func (m *Map) Resume() *Map {
+	next := &Map{Version: m.Version, Services: map[string]*state.ServiceSlots{}}
+	for name, s := range m.Services {
+		next.Services[name] = resumeService(s)
+	}
+	return next
+}
+
+// Resumable reports whether Resume would change anything.
+func (m *Map) Resumable() bool {
+	for _, s := range m.Services {
+		if slices.ContainsFunc(s.Slots, func(slot state.Slot) bool { return resumable(s, slot) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// resumable reports whether a slot is on its way from an owner that was not lost.
+func resumable(s *state.ServiceSlots, slot state.Slot) bool {
+	return slot.Moving() && !slot.Lost && s.Target(slot.Owner) != nil
+}
+
+func resumeService(old *state.ServiceSlots) *state.ServiceSlots {
+	s := &state.ServiceSlots{Service: old.Service, Slots: slices.Clone(old.Slots), Targets: slices.Clone(old.Targets)}
+	for i := range s.Slots {
+		slot := &s.Slots[i]
+		if resumable(s, *slot) {
+			slot.Next = ""
+			s.Target(slot.Owner).Resumed = true
+		}
+	}
+	return s
+}
+
+// Undone returns the change on top of m, the map read from the table, that takes slots
+// back into a move when they have got a new owner there while the resumed map was in use:
+// the old owner may still be serving them. It reports false when there is nothing to do.
+func (m *Map) Undone(resumed *Map) (Change, bool) {
+	for _, name := range m.ServiceNames() {
+		old := resumed.Services[name]
+		if old == nil {
+			continue
+		}
+		service := m.Services[name]
+		c := Change{Version: m.Version + 1, Service: name, SlotCount: len(service.Slots), Targets: service.Targets}
+		for i, s := range service.Slots {
+			was := old.Slots[i]
+			if s.Moving() || was.Moving() || was.Owner == "" || was.Owner == s.Owner {
+				continue
+			}
+			c.Slots = append(c.Slots, SlotChange{i, state.Slot{Owner: was.Owner, Next: s.Owner, Fence: s.Fence + 1}})
+		}
+		if len(c.Slots) > 0 {
+			// At most one change is ever in doubt, and a change touches one service.
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+// Generation returns the number that grants of a target's slots carry. Resumed slots lie
+// between the stored change that took them away and the next one.
+func Generation(t state.Target) uint64 {
+	if t.Resumed {
+		return 2*t.Generation + 1
+	}
+	return 2 * t.Generation
+}
+
 // SlotOf returns the slot of a key among count slots.
 func SlotOf(key string, count int) int {
 	return int(xxhash.Sum64String(key) % uint64(count))
--- a/coordination/session/session.go
+++ b/coordination/session/session.go
@@ -42,6 +42,8 @@
 	Until      clock.Instant
 	// AckedMap is the map version up to which the instance has stopped using older ones.
 	AckedMap uint64
+	// AckedMapAt is when AckedMap last grew.
+	AckedMapAt clock.Instant
 	// AckedRules is the version of the rules the instance applies.
 	AckedRules uint64
 	// Reachable and Unreachable are the targets the instance last reported about.
@@ -65,9 +67,13 @@
 // Renew records that a session of the given length has been issued at now.
 func (l *Ledger) Renew(now clock.Instant, e Entry, length time.Duration) {
 	e.Until = now.Add(length + l.margin)
+	e.AckedMapAt = now
 	if old := l.entries[e.ID]; old != nil {
 		e.Until = e.Until.Later(old.Until)
-		e.AckedMap = max(e.AckedMap, old.AckedMap)
+		if e.AckedMap <= old.AckedMap {
+			e.AckedMap = old.AckedMap
+			e.AckedMapAt = old.AckedMapAt
+		}
 		e.AckedRules = max(e.AckedRules, old.AckedRules)
 	}
 	l.entries[e.ID] = &e
@@ -114,6 +120,15 @@
 	return floor
 }
 
+// LastAck returns when the live sessions last acknowledged a map version.
+func (l *Ledger) LastAck() clock.Instant {
+	last := clock.Never
+	for _, e := range l.entries {
+		last = last.Later(e.AckedMapAt)
+	}
+	return last
+}
+
 // RulesFloor returns the oldest version of the rules that a live session may still use.
 func (l *Ledger) RulesFloor() uint64 {
 	floor := ^uint64(0)
--- a/state/records.go
+++ b/state/records.go
@@ -81,6 +81,9 @@
 	Generation uint64 `json:"generation"`
 	// Draining targets keep what they hold until it has moved, and get nothing new.
 	Draining bool `json:"draining,omitempty"`
+	// Resumed says that the target holds slots back whose move was cut short. It is never
+	// stored.
+	Resumed bool `json:"-"`
 	// Ordered says that an operator asked for the drain, so that it outlives the
 	// platform's list.
 	Ordered bool `json:"ordered,omitempty"`
--- a/transport/entry/inflight.go
+++ b/transport/entry/inflight.go
@@ -80,7 +80,7 @@
 			if !f.stale(m) {
 				continue
 			}
-			settled = min(settled, f.version)
+			settled = min(settled, f.version-1)
 			if m.Services[f.service].Slots[f.slot].Lost {
 				f.cancel(ownerLostError{})
 			}
@@ -93,5 +93,10 @@
 // stale reports whether the assignment of the slot has changed since the request was sent.
 func (f flight) stale(m *ownership.Map) bool {
 	service := m.Services[f.service]
-	return service != nil && f.slot < len(service.Slots) && service.Slots[f.slot].Since != f.since
+	if service == nil || f.slot >= len(service.Slots) {
+		return false
+	}
+	// A resumed slot has the same Since as the move that was cut short.
+	slot := service.Slots[f.slot]
+	return slot.Since != f.since || slot.Moving()
 }
