--- a/coordination/authority/machine.go
+++ b/coordination/authority/machine.go
@@ -45,6 +45,9 @@
 	ready    []string
 	left     []string
 	nextSend clock.Instant
+	// nextCommit is when the commit is repeated. It has a time of its own: a named instance
+	// that is lost never acknowledges, and the question to leave must go out all the same.
+	nextCommit clock.Instant
 
 	// missing holds since when each named instance has been gone from the platform's list.
 	missing    map[string]clock.Instant
@@ -183,11 +186,19 @@
 	return out
 }
 
-func (m *Machine) emit(e Effect)       { m.effects = append(m.effects, e) }
-func (m *Machine) event(name string)   { m.emit(Effect{Event: name}) }
-func (m *Machine) setMode(next Mode)   { m.mode = next; m.nextSend = clock.Never; m.event(next.String()) }
+func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
+
+func (m *Machine) event(name string) { m.emit(Effect{Event: name}) }
+
 func (m *Machine) self(id string) bool { return id == m.cfg.ID }
 
+func (m *Machine) setMode(next Mode) {
+	m.mode = next
+	m.nextSend = clock.Never
+	m.nextCommit = clock.Never
+	m.event(next.String())
+}
+
 func (m *Machine) send(to string, kind MessageKind, stage Stage) {
 	if m.self(to) {
 		return
@@ -443,7 +454,8 @@
 // keepStatic repeats the commit until everybody has it, and looks for the way out.
 // Standbys repeat it too: the leader may be lost after it has told only one of them.
 func (m *Machine) keepStatic(now clock.Instant) {
-	if !m.allNamed(m.acks) && m.due(now) {
+	if !m.allNamed(m.acks) && now >= m.nextCommit {
+		m.nextCommit = now.Add(m.cfg.ResendEvery)
 		m.sendRest(Commit, m.acks)
 	}
 	m.thaw(now)
