--- a/coordination/node/grants.go
+++ b/coordination/node/grants.go
@@ -164,7 +164,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		t := n.targets[id]
-		if t.confirmed > 0 {
+		if t.confirmed > 0 && !ownership.IsResumed(t.confirmed) {
 			confirmed = append(confirmed, message.Confirmation{Target: id, Generation: t.confirmed})
 		}
 		switch {
--- a/coordination/node/load_test.go
+++ b/coordination/node/load_test.go
@@ -56,16 +56,18 @@
 	request := fmt.Sprintf("%s-%d", p.id, id)
 	f := &flight{slot: slot, since: s.Since, version: service.Version}
 	p.flights[id] = f
-	deadline := min(requestDeadline, p.view.Until.Sub(p.clock()))
+	left := min(requestDeadline, p.view.Until.Sub(p.clock()))
+	// All clocks of people agree well enough here; see docs/GUARANTEES.md.
+	deadline := l.h.now.Add(left)
 	f.giveUp = func() { l.finish(p, id, request, "unknown") }
-	l.h.after(deadline, func() { p.step(func() { l.finish(p, id, request, "unknown") }) })
+	l.h.at(deadline, func() { p.step(func() { l.finish(p, id, request, "unknown") }) })
 	// The bytes leave a little after the check.
 	l.h.after(50*time.Microsecond, func() {
 		p.step(func() { l.transmit(p, id, request, slot, s.Owner, s.Fence, deadline) })
 	})
 }
 
-func (l *load) transmit(p *proc, id int, request string, slot int, owner string, fence uint64, deadline time.Duration) {
+func (l *load) transmit(p *proc, id int, request string, slot int, owner string, fence uint64, deadline clock.Instant) {
 	t := l.h.target(owner)
 	if l.h.lost(p.id, owner) {
 		return
@@ -81,8 +83,9 @@
 
 // serve is the target's part. A target that checks looks at its grant when the request
 // comes and again when its work takes effect. One that does not check honours the
-// deadline only.
-func (l *load) serve(p *proc, t *fakeTarget, id int, request string, slot int, fence uint64, deadline time.Duration) {
+// deadline only, which is a point in time: one that was counted from the arrival would let
+// a target that was frozen run everything it finds when it wakes.
+func (l *load) serve(p *proc, t *fakeTarget, id int, request string, slot int, fence uint64, deadline clock.Instant) {
 	reply := func(result string) {
 		if !l.h.lost(t.id, p.id) {
 			l.h.after(netDelay, func() { p.step(func() { l.finish(p, id, request, result) }) })
@@ -95,10 +98,9 @@
 		reply("not-run")
 		return
 	}
-	arrived := l.h.now
 	l.h.after(workTime, func() {
 		t.step(func() {
-			if t.fenced && !t.holdings.Owns(t.clock(), slot, fence) || l.h.now.Sub(arrived) > deadline {
+			if t.fenced && !t.holdings.Owns(t.clock(), slot, fence) || !t.fenced && l.h.now > deadline {
 				reply("unknown")
 				return
 			}
--- a/coordination/node/moves.go
+++ b/coordination/node/moves.go
@@ -161,7 +161,6 @@
 	c := ownership.Change{Service: service.Service, SlotCount: len(service.Slots), Targets: service.Targets}
 	for i, s := range service.Slots {
 		if s.Moving() && s.Since <= n.leader.loadedMap {
-			s.Fence++
 			c.Slots = append(c.Slots, ownership.SlotChange{Index: i, Slot: s})
 		}
 	}
@@ -236,6 +235,7 @@
 		Slots:     old.Slots,
 		Targets:   targets,
 		Lost:      lost,
+		LostOnly:  n.leader.restart,
 		Imbalance: spec.Imbalance,
 		Budget:    n.balanceBudget(now, spec),
 	})
@@ -321,9 +321,9 @@
 	kind := timeline.SlotAssigned
 	for _, m := range moves {
 		s := old.Slots[m.Slot]
-		s.Fence++
 		if s.Owner == "" && !s.Moving() {
 			s.Owner = m.To
+			s.Fence++
 		} else {
 			s.Next = m.To
 			s.Lost = s.Lost || m.Lost
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -336,6 +336,8 @@
 		return
 	}
 	n.resumed = resumed
+	// What was sent under resumed slots counts as under way afresh.
+	n.drained = 0
 	n.setWorking()
 	n.publish()
 }
--- a/coordination/node/propose.go
+++ b/coordination/node/propose.go
@@ -63,6 +63,11 @@
 		return false
 	}
 	p := n.leader.proposals[0]
+	if n.leader.restart && p.proposal.Kind != message.ApplyRules {
+		// Until the moves that were found have begun anew, no other may begin: its slot would
+		// be given back to its owner like theirs.
+		return false
+	}
 	n.leader.proposals = n.leader.proposals[1:]
 	var r message.ProposalResult
 	switch p.proposal.Kind {
@@ -161,7 +166,6 @@
 	if slot.Moving() {
 		return invalid("slot %d is already moving to %s", p.proposal.Slot, slot.Next)
 	}
-	slot.Fence++
 	slot.Next = target.ID
 	changes := []ownership.SlotChange{{Index: p.proposal.Slot, Slot: slot}}
 	c := ownership.Change{Service: service.Service, SlotCount: len(service.Slots), Slots: changes, Targets: service.Targets}
--- a/coordination/ownership/map.go
+++ b/coordination/ownership/map.go
@@ -3,8 +3,8 @@
 //
 // The invariant: the version of a map grows by one with each change, and every
 // instance applies the same changes in the same order. A slot changes owner in two
-// changes: the first takes it from the old owner and raises its fence, the second
-// gives it to the new one. Between them nobody owns it.
+// changes: the first takes it from the old owner, the second gives it to the new one
+// under a higher fence. Between them nobody owns it.
 package ownership
 
 import (
@@ -123,7 +123,8 @@
 
 // Undone returns the change on top of m, the map read from the table, that takes slots
 // back into a move when they have got a new owner there while the resumed map was in use:
-// the old owner may still be serving them. It reports false when there is nothing to do.
+// the old owner may still be serving them. The new owner's fence was never told to anybody
+// and is given again when the move is finished. It reports false when there is nothing to do.
 func (m *Map) Undone(resumed *Map) (Change, bool) {
 	for _, name := range m.ServiceNames() {
 		old := resumed.Services[name]
@@ -137,7 +138,7 @@
 			if s.Moving() || was.Moving() || was.Owner == "" || was.Owner == s.Owner {
 				continue
 			}
-			c.Slots = append(c.Slots, SlotChange{i, state.Slot{Owner: was.Owner, Next: s.Owner, Fence: s.Fence + 1}})
+			c.Slots = append(c.Slots, SlotChange{i, state.Slot{Owner: was.Owner, Next: s.Owner, Fence: was.Fence}})
 		}
 		if len(c.Slots) > 0 {
 			// At most one change is ever in doubt, and a change touches one service.
@@ -156,6 +157,9 @@
 	return 2 * t.Generation
 }
 
+// IsResumed reports whether a generation includes resumed slots.
+func IsResumed(generation uint64) bool { return generation%2 == 1 }
+
 // SlotOf returns the slot of a key among count slots.
 func SlotOf(key string, count int) int {
 	return int(xxhash.Sum64String(key) % uint64(count))
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -29,6 +29,9 @@
 	Lost map[string]bool
 	// Imbalance is the ratio of fullest to mean from which on slots move for balance.
 	Imbalance float64
+	// LostOnly asks for the slots of lost targets only: nothing that still has a living
+	// owner may begin to move.
+	LostOnly bool
 	// Budget is the number of slots that may move for balance now.
 	Budget int
 }
@@ -50,6 +53,9 @@
 		return nil
 	}
 	p.rescue()
+	if req.LostOnly {
+		return p.moves
+	}
 	p.drain()
 	p.balance()
 	return p.moves
@@ -107,17 +113,22 @@
 	p.moves = append(p.moves, Move{Slot: slot, To: to, Lost: lost})
 }
 
-func (p *plan) known(id string) bool {
-	return slices.ContainsFunc(p.req.Targets, func(t state.Target) bool { return t.ID == id })
+// gone reports whether a target is lost or not a target of the service any more.
+func (p *plan) gone(id string) bool {
+	return p.req.Lost[id] || !slices.ContainsFunc(p.req.Targets, func(t state.Target) bool { return t.ID == id })
 }
 
 // rescue moves every slot whose heir is lost, unknown or nobody.
 func (p *plan) rescue() {
 	for i, s := range p.req.Slots {
-		h := heir(s)
-		if h == "" || p.req.Lost[h] || !p.known(h) {
-			p.move(i, p.emptiest(), h != "")
+		if h := heir(s); h != "" && !p.gone(h) {
+			continue
+		}
+		lost := s.Owner != "" && p.gone(s.Owner)
+		if p.req.LostOnly && s.Owner != "" && !lost {
+			continue
 		}
+		p.move(i, p.emptiest(), lost)
 	}
 }
 
--- a/state/records.go
+++ b/state/records.go
@@ -59,7 +59,7 @@
 type Slot struct {
 	Owner string `json:"o,omitempty"`
 	Next  string `json:"n,omitempty"`
-	// Fence grows with every change of owner and never shrinks.
+	// Fence is what requests to Owner carry. It grows when the slot is given to Next.
 	Fence uint64 `json:"f"`
 	// Since is the map version of the last change of this slot.
 	Since uint64 `json:"s"`
