--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -17,6 +17,11 @@
 	// HeaderTimeout is the time left for the request, in milliseconds. The target must
 	// have ended the request by then.
 	HeaderTimeout = Prefix + "Timeout-Ms"
+	// HeaderDeadline is when that is, as Unix time in milliseconds. A target that checks no
+	// grants must look at this one: time counted from arrival would let a target that was
+	// stopped run everything it finds when it goes on. The clocks of instances and such
+	// targets must agree within MaxClockSkew.
+	HeaderDeadline = Prefix + "Deadline-Unix-Ms"
 	// HeaderCaller is the caller as lycheehall knows it.
 	HeaderCaller = Prefix + "Caller"
 	// HeaderRequestID is unique to one attempt. A target that sends it back lets
@@ -24,6 +29,10 @@
 	HeaderRequestID = Prefix + "Request-Id"
 )
 
+// MaxClockSkew is how far the wall clocks of instances and of targets that check no grants
+// may differ, in milliseconds.
+const MaxClockSkew = 50
+
 // HeaderNotRun in a target's answer says that the request did not reach the handler,
 // with the reason.
 const HeaderNotRun = Prefix + "Not-Run"
@@ -34,6 +43,8 @@
 	NotRunFence = "fence"
 	// NotRunShed: the target has no room.
 	NotRunShed = "shed"
+	// NotRunDeadline: the deadline had passed when the request came.
+	NotRunDeadline = "deadline"
 	// NotRunDraining: the target takes no new work.
 	NotRunDraining = "draining"
 )
--- a/standin/target.go
+++ b/standin/target.go
@@ -204,6 +204,11 @@
 		return
 	}
 	run := Run{Target: t.ID, Service: t.Service, Method: r.Method, Path: r.URL.Path, Slot: slot, Fence: fence, Request: r.Header.Get(wire.HeaderRequestID), Body: string(body)}
+	if !t.Fenced && deadlinePassed(r) {
+		w.Header().Set(wire.HeaderNotRun, wire.NotRunDeadline)
+		http.Error(w, "not run: the deadline has passed", http.StatusServiceUnavailable)
+		return
+	}
 	if reason := t.begin(run); reason != "" {
 		w.Header().Set(wire.HeaderNotRun, reason)
 		http.Error(w, "not run: "+reason, http.StatusServiceUnavailable)
@@ -221,6 +226,11 @@
 	t.answer(w, r, run)
 }
 
+func deadlinePassed(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(wire.HeaderDeadline), 10, 64)
+	return err == nil && time.Now().UnixMilli() >= ms
+}
+
 func (t *Target) begin(run Run) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -404,7 +404,7 @@
 	if c.service.Fencing != rules.FencingNone || !c.decision.Keyed {
 		return context.WithCancel(ctx)
 	}
-	left := c.state.Until.Sub(c.h.clock.Now())
+	left := c.state.Until.Sub(c.h.clock.Now()) - wire.MaxClockSkew*time.Millisecond
 	return context.WithTimeout(ctx, left)
 }
 
@@ -431,6 +431,7 @@
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		h.Set(wire.HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		h.Set(wire.HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
 	return req, nil
 }
