Check rules and real processes; find a rule by the ends of its path

Ruled out: allocation (none before or after). Change: the path is cut once; rules are found by the first and last part of the path.

--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -32,10 +32,17 @@
 type Set struct {
 	services []Service
 	rules    []*compiled
-	// byFirst holds, for each first path segment that a rule names literally, the rules
-	// that can match a path beginning with it, in order; others holds those for the rest.
-	byFirst map[string][]*compiled
-	others  []*compiled
+	// byFirst holds the rules that can match a path with this first part, for each part
+	// that some rule names; others holds those that can match any other path.
+	byFirst map[string]*lastIndex
+	others  *lastIndex
+}
+
+// lastIndex holds rules by the last part of the path, in the same way. Two levels keep the
+// list that is tried one by one short, also when many rules share their beginning.
+type lastIndex struct {
+	byLast map[string][]*compiled
+	others []*compiled
 }
 
 // compiled is a rule in the form that requests are matched against.
@@ -87,39 +94,69 @@
 }
 
 func compile(f *file) *Set {
-	s := &Set{services: f.Service, byFirst: map[string][]*compiled{}}
+	s := &Set{services: f.Service, byFirst: map[string]*lastIndex{}}
 	for i := range f.Rule {
 		s.rules = append(s.rules, compileRule(f.Rule[i], i))
 	}
+	s.others = indexByLast(canMatch(s.rules, (*compiled).first, ""))
 	for _, r := range s.rules {
-		if first, ok := r.first(); ok {
-			s.byFirst[first] = nil
+		if first := r.first(); first != "" && s.byFirst[first] == nil {
+			s.byFirst[first] = indexByLast(canMatch(s.rules, (*compiled).first, first))
 		}
 	}
-	for _, r := range s.rules {
-		s.index(r)
-	}
 	return s
 }
 
-// first returns the literal first segment of the rule's path, if it has one.
-func (r *compiled) first() (string, bool) {
+func indexByLast(list []*compiled) *lastIndex {
+	x := &lastIndex{byLast: map[string][]*compiled{}, others: canMatch(list, (*compiled).last, "")}
+	for _, r := range list {
+		if last := r.last(); last != "" && x.byLast[last] == nil {
+			x.byLast[last] = canMatch(list, (*compiled).last, last)
+		}
+	}
+	return x
+}
+
+// canMatch returns, in order, the rules that name the given part or none there.
+func canMatch(list []*compiled, part func(*compiled) string, text string) []*compiled {
+	var out []*compiled
+	for _, r := range list {
+		if named := part(r); named == "" || named == text {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// first returns the first part of the rule's path, if it names one.
+func (r *compiled) first() string {
 	if len(r.when.path) == 0 || r.when.path[0].kind != literal {
-		return "", false
+		return ""
 	}
-	return r.when.path[0].text, true
+	return r.when.path[0].text
 }
 
-// index puts the rule into the lists it can match in, which keeps the order of rules.
-func (s *Set) index(r *compiled) {
-	if first, ok := r.first(); ok {
-		s.byFirst[first] = append(s.byFirst[first], r)
-		return
+// last returns the last part of the rule's path, if it names one.
+func (r *compiled) last() string {
+	if len(r.when.path) == 0 || r.when.path[len(r.when.path)-1].kind != literal {
+		return ""
 	}
-	for first := range s.byFirst {
-		s.byFirst[first] = append(s.byFirst[first], r)
+	return r.when.path[len(r.when.path)-1].text
+}
+
+// candidates returns the rules that can match a path, in order.
+func (s *Set) candidates(path *parts) []*compiled {
+	if path.count == 0 {
+		return s.others.others
 	}
-	s.others = append(s.others, r)
+	x := s.others
+	if named, ok := s.byFirst[path.text[0]]; ok {
+		x = named
+	}
+	if list, ok := x.byLast[path.text[path.count-1]]; ok {
+		return list
+	}
+	return x.others
 }
 
 func compileRule(r Rule, index int) *compiled {
@@ -162,15 +199,11 @@
 
 // Decide returns what the first matching rule says.
 func (s *Set) Decide(r *Request) Decision {
-	candidates := s.others
-	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); true {
-		if list, ok := s.byFirst[first]; ok {
-			candidates = list
-		}
-	}
+	var path parts
+	path.split(r.URL.Path)
 	var v variables
-	for _, c := range candidates {
-		if c.when.holds(r, &v) {
+	for _, c := range s.candidates(&path) {
+		if c.when.holds(r, &path, &v) {
 			return c.decide(r, &v)
 		}
 	}
@@ -195,8 +228,8 @@
 }
 
 // holds reports whether the condition holds; v gets the variables of its own path.
-func (c *condition) holds(r *Request, v *variables) bool {
-	if len(c.path) > 0 && !c.path.match(r.URL.Path, v) {
+func (c *condition) holds(r *Request, path *parts, v *variables) bool {
+	if len(c.path) > 0 && !c.path.match(path, v) {
 		return false
 	}
 	if !among(c.method, r.Method) || !among(c.caller, r.Caller) || !among(c.dataCentre, r.DataCentre) {
@@ -210,24 +243,24 @@
 			return false
 		}
 	}
-	return c.combined(r)
+	return c.combined(r, path)
 }
 
-func (c *condition) combined(r *Request) bool {
+func (c *condition) combined(r *Request, path *parts) bool {
 	var scratch variables
 	for i := range c.all {
-		if !c.all[i].holds(r, &scratch) {
+		if !c.all[i].holds(r, path, &scratch) {
 			return false
 		}
 	}
-	if c.not != nil && c.not.holds(r, &scratch) {
+	if c.not != nil && c.not.holds(r, path, &scratch) {
 		return false
 	}
 	if len(c.any) == 0 {
 		return true
 	}
 	for i := range c.any {
-		if c.any[i].holds(r, &scratch) {
+		if c.any[i].holds(r, path, &scratch) {
 			return true
 		}
 	}
--- a/protocol/rules/pattern.go
+++ b/protocol/rules/pattern.go
@@ -49,6 +49,9 @@
 		}
 		p = append(p, s)
 	}
+	if len(p) >= maxParts {
+		return nil, fmt.Errorf("the pattern %q has %d parts; at most %d are accepted", text, len(p), maxParts-1)
+	}
 	if len(names) > maxVariables {
 		return nil, fmt.Errorf("the pattern %q has %d variables; at most %d are accepted", text, len(names), maxVariables)
 	}
@@ -88,31 +91,64 @@
 	count  int
 }
 
+// maxParts is how many parts of a path are told apart; the last one holds what is left.
+const maxParts = 24
+
+// parts is a path cut at its slashes, once for all rules.
+type parts struct {
+	path   string
+	text   [maxParts]string
+	offset [maxParts]int
+	count  int
+}
+
+// split cuts the path. A path that does not begin with a slash has no parts.
+func (p *parts) split(path string) {
+	p.path = path
+	p.count = 0
+	if path == "" || path[0] != '/' {
+		return
+	}
+	start := 1
+	for i := 1; i <= len(path) && p.count < maxParts-1; i++ {
+		if i == len(path) || path[i] == '/' {
+			p.add(path[start:i], start)
+			start = i + 1
+		}
+	}
+	if start <= len(path) {
+		p.add(path[start:], start)
+	}
+}
+
+func (p *parts) add(text string, offset int) {
+	p.text[p.count] = text
+	p.offset[p.count] = offset
+	p.count++
+}
+
 // match reports whether the path has the form of the pattern. It allocates nothing.
-func (p pattern) match(path string, v *variables) bool {
+func (p pattern) match(path *parts, v *variables) bool {
 	v.count = 0
-	if path == "" || path[0] != '/' {
+	if path.count < len(p) || path.count > len(p) && p[len(p)-1].kind != remainder {
 		return false
 	}
-	rest := path[1:]
-	for i, s := range p {
-		if s.kind == remainder {
-			v.add(rest)
-			return true
-		}
-		part, after, more := strings.Cut(rest, "/")
-		if last := i == len(p)-1; last == more {
-			return false
-		}
-		switch {
-		case s.kind == literal && s.text != part:
-			return false
-		case s.kind == variable && part == "":
-			return false
-		case s.kind == variable:
-			v.add(part)
+	for i := range p {
+		s := &p[i]
+		text := path.text[i]
+		switch s.kind {
+		case literal:
+			if s.text != text {
+				return false
+			}
+		case variable:
+			if text == "" || i == maxParts-1 && strings.Contains(text, "/") {
+				return false
+			}
+			v.add(text)
+		case remainder:
+			v.add(path.path[path.offset[i]:])
 		}
-		rest = after
 	}
 	return true
 }
--- /dev/null
+++ b/protocol/rules/rules_test.go
@@ -0,0 +1,193 @@
+package rules_test
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/examples"
+	"lycheehall.example/lycheehall/protocol/rules"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestRules(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Rules")
+}
+
+func request(method, target string, header ...string) *rules.Request {
+	u, err := url.Parse(target)
+	Expect(err).NotTo(HaveOccurred())
+	r := &rules.Request{Method: method, URL: u, Header: http.Header{}, Caller: "anna", DataCentre: "dc1", Host: "Host:80"}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	return r
+}
+
+var _ = Describe("a configuration", func() {
+	It("accepts the example", func() {
+		set, err := rules.Parse("example", examples.Rules)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(set.Rules()).To(HaveLen(8))
+		Expect(set.Service("catalogue").Preset).To(Equal(rules.PresetChurn))
+	})
+
+	It("reports every mistake at once, with file, line, rule and field", func() {
+		text, err := os.ReadFile("testdata/mistakes.toml")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = rules.Parse("mistakes.toml", string(text))
+		Expect(err).To(HaveOccurred())
+		if *update {
+			Expect(os.WriteFile("testdata/mistakes.golden", []byte(err.Error()+"\n"), 0o644)).To(Succeed())
+		}
+		want, readErr := os.ReadFile("testdata/mistakes.golden")
+		Expect(readErr).NotTo(HaveOccurred())
+		Expect(err.Error() + "\n").To(Equal(string(want)))
+	})
+
+	It("reports a syntax error with its line", func() {
+		_, err := rules.Parse("f", "[[rule]]\nname = \n")
+		Expect(err).To(MatchError(ContainSubstring("f:2: rule 1")))
+	})
+
+	It("refuses a text that is too large", func() {
+		_, err := rules.Parse("f", strings.Repeat("#", rules.MaxText+1))
+		Expect(err).To(MatchError(ContainSubstring("at most")))
+	})
+})
+
+const decideRules = `
+[[service]]
+name = "s"
+slots = 8
+[[service]]
+name = "u"
+[[rule]]
+name = "first"
+when = { method = ["GET"], path = "/a/{k}" }
+then = { route = "s", key = "path:k" }
+[[rule]]
+name = "header"
+when = { header = { "x-kind" = "*" }, path = "/h/{rest...}" }
+then = { route = "s", key = "header:x-key" }
+[[rule]]
+name = "query"
+when = { path = "/q" }
+then = { route = "s", key = "query:id" }
+[[rule]]
+name = "either"
+when = { any = [ { caller = ["bob"] }, { path = "/e" } ], not = { method = ["DELETE"] } }
+then = { route = "u" }
+[[rule]]
+name = "both"
+when = { all = [ { data_centre = ["dc1"] }, { host = ["Host"] } ], path = "/b/c" }
+then = { refuse = { status = 403 } }
+`
+
+var _ = DescribeTable("the first matching rule decides",
+	func(r func() *rules.Request, rule, key string) {
+		set, err := rules.Parse("f", decideRules)
+		Expect(err).NotTo(HaveOccurred())
+		d := set.Decide(r())
+		if rule == "" {
+			Expect(d.Rule).To(BeNil())
+			return
+		}
+		Expect(d.Rule.Name).To(Equal(rule))
+		Expect(d.Key).To(Equal(key))
+	},
+	Entry("key from the path", func() *rules.Request { return request("GET", "/a/7") }, "first", "7"),
+	Entry("another method", func() *rules.Request { return request("POST", "/a/7") }, "", ""),
+	Entry("an empty key", func() *rules.Request { return request("GET", "/a/") }, "", ""),
+	Entry("a longer path", func() *rules.Request { return request("GET", "/a/7/8") }, "", ""),
+	Entry("key from a header", func() *rules.Request { return request("GET", "/h/x/y", "X-Kind", "1", "X-Key", "k") }, "header", "k"),
+	Entry("two headers give no key", func() *rules.Request { return request("GET", "/h/x", "X-Kind", "1", "X-Key", "k", "X-Key", "l") }, "header", ""),
+	Entry("key from the query", func() *rules.Request { return request("GET", "/q?id=5") }, "query", "5"),
+	Entry("two values give no key", func() *rules.Request { return request("GET", "/q?id=5&id=6") }, "query", ""),
+	Entry("any of several", func() *rules.Request { return request("GET", "/e") }, "either", ""),
+	Entry("but not", func() *rules.Request { return request("DELETE", "/e") }, "", ""),
+	Entry("all of several", func() *rules.Request { return request("GET", "/b/c") }, "both", ""),
+)
+
+var _ = DescribeTable("a rule that an earlier one always decides is reported",
+	func(first, second string, unreachable bool) {
+		text := fmt.Sprintf("[[rule]]\nname = \"1\"\nwhen = { %s }\nthen = { refuse = { status = 400 } }\n"+
+			"[[rule]]\nname = \"2\"\nwhen = { %s }\nthen = { refuse = { status = 400 } }\n", first, second)
+		_, err := rules.Parse("f", text)
+		if unreachable {
+			Expect(err).To(MatchError(ContainSubstring("can never match")))
+		} else {
+			Expect(err).NotTo(HaveOccurred())
+		}
+	},
+	Entry("the same", `path = "/a"`, `path = "/a"`, true),
+	Entry("everything", ``, `path = "/a"`, true),
+	Entry("a variable", `path = "/{x}"`, `path = "/a"`, true),
+	Entry("a remainder", `path = "/a/{x...}"`, `path = "/a/b/c", method = ["GET"]`, true),
+	Entry("more methods", `method = ["GET", "POST"]`, `method = ["GET"]`, true),
+	Entry("fewer methods", `method = ["GET"]`, `method = ["GET", "POST"]`, false),
+	Entry("another path", `path = "/a"`, `path = "/{x}"`, false),
+	Entry("a header more", `header = { a = "1" }`, `path = "/a"`, false),
+	Entry("a condition that is combined", `not = { path = "/b" }`, `path = "/a"`, false),
+)
+
+// FuzzParse feeds the parser whatever text: it answers with a set or with mistakes.
+func FuzzParse(f *testing.F) {
+	f.Add(examples.Rules)
+	f.Add(decideRules)
+	f.Add("[[rule]]\nname=1")
+	f.Add("[[rule]]\nwhen={any=[{not={}}]}\nthen={limit={}}")
+	f.Fuzz(func(t *testing.T, text string) {
+		set, err := rules.Parse("f", text)
+		if (set == nil) == (err == nil) {
+			t.Fatalf("set %v, error %v", set, err)
+		}
+	})
+}
+
+// FuzzDecide feeds the matching whatever path and query.
+func FuzzDecide(f *testing.F) {
+	f.Add("/a/7", "id=1")
+	f.Add("//", "")
+	f.Add("/h/%2f", "id=1&id=2")
+	set, err := rules.Parse("f", decideRules)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, path, query string) {
+		u := &url.URL{Path: path, RawQuery: query}
+		d := set.Decide(&rules.Request{Method: "GET", URL: u, Header: http.Header{}})
+		if d.Rule != nil && d.Rule.Name == "first" && d.Key == "" {
+			t.Fatalf("path %q matched without a key", path)
+		}
+	})
+}
+
+// BenchmarkDecide measures rule match, key and slot with 100 rules.
+func BenchmarkDecide(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("[[service]]\nname = \"s\"\nslots = 4096\n")
+	for i := range 100 {
+		fmt.Fprintf(&text, "[[rule]]\nname = \"r%d\"\nwhen = { method = [\"GET\"], path = \"/p/{k}/n%d\" }\nthen = { route = \"s\", key = \"path:k\" }\n", i, i)
+	}
+	set, err := rules.Parse("b", text.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &rules.Request{Method: "GET", URL: &url.URL{Path: "/p/household-4711/n99"}, Header: http.Header{}, Caller: "c"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if d := set.Decide(r); d.Rule == nil {
+			b.Fatal("no rule")
+		}
+	}
+}
--- /dev/null
+++ b/server/process_test.go
@@ -0,0 +1,441 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/examples"
+	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/settings"
+	"lycheehall.example/lycheehall/standin"
+	"lycheehall.example/lycheehall/state"
+	"lycheehall.example/lycheehall/transport/platform"
+	"lycheehall.example/lycheehall/transport/rpc"
+)
+
+// childVariable makes the test program run as one process of a deployment instead.
+const childVariable = "LYCHEEHALL_TEST_CHILD"
+
+const testSecret = "secret-of-the-process-tests"
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(childVariable); role != "" {
+		runChild(role, os.Args[1:])
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Server")
+}
+
+// runChild runs a platform, a target or an instance. It prints its address first.
+func runChild(role string, args []string) {
+	switch role {
+	case "platform":
+		childPlatform()
+	case "target":
+		childTarget(args[0], args[1])
+	case "instance":
+		childInstance(args[0], args[1], args[2])
+	}
+}
+
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+func childPlatform() {
+	l := listen()
+	directory := standin.NewDirectory(200 * time.Millisecond)
+	server := rpc.NewServer(l, testSecret)
+	service := &platform.Service{Table: standin.NewTable(), Directory: directory, Announced: directory.Add}
+	if err := server.Register(platform.ServiceName, service); err != nil {
+		panic(err)
+	}
+	go func() {
+		for range time.Tick(100 * time.Millisecond) {
+			directory.DropEnded()
+		}
+	}()
+	fmt.Println(l.Addr())
+	server.Serve()
+}
+
+func childTarget(id, platformAddress string) {
+	l := listen()
+	target := standin.NewTarget(id, "bookings", true)
+	target.Concurrency = 50
+	target.Work = 2 * time.Millisecond
+	go http.Serve(l, target.Handler())
+	client := platform.NewClient(platformAddress, rpc.NewPool(testSecret))
+	m := state.Member{ID: id, Kind: state.KindTarget, Service: "bookings", Address: l.Addr().String(), DataCentre: "dc1", Lifecycle: state.Live}
+	fmt.Println(l.Addr())
+	for {
+		_ = client.Announce(context.Background(), m)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func childInstance(name, platformAddress, rulesFile string) {
+	s := settings.Default()
+	s.Name, s.DataCentre, s.Platform, s.FirstRules = name, "dc-"+name, platformAddress, rulesFile
+	s.Listen, s.Peer, s.Admin = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Secret, s.OperatorToken = testSecret, testSecret
+	s.Grace = settings.Duration(100 * time.Millisecond)
+	logger, level := NewLogger(io.Discard, log.InfoLevel)
+	srv, err := New(s, platform.NewClient(platformAddress, rpc.NewPool(testSecret)), logger, level)
+	if err != nil {
+		panic(err)
+	}
+	if err := srv.Start(); err != nil {
+		panic(err)
+	}
+	callers, admin := srv.Addresses()
+	fmt.Println(callers, admin)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	<-signals
+	srv.Stop(context.Background())
+}
+
+// child is a process of the deployment under test.
+type child struct {
+	cmd     *exec.Cmd
+	address string
+	admin   string
+}
+
+func startChild(role string, args ...string) *child {
+	GinkgoHelper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), childVariable+"="+role)
+	cmd.Stderr = GinkgoWriter
+	out, err := cmd.StdoutPipe()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	c := &child{cmd: cmd}
+	_, err = fmt.Fscan(out, &c.address)
+	Expect(err).NotTo(HaveOccurred())
+	if role == "instance" {
+		_, err = fmt.Fscan(out, &c.admin)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return c
+}
+
+func (c *child) signal(s syscall.Signal) {
+	GinkgoHelper()
+	Expect(c.cmd.Process.Signal(s)).To(Succeed())
+}
+
+// deployment is a platform, three instances and three targets, each a process.
+type deployment struct {
+	platform  *child
+	instances []*child
+	targets   map[string]*child
+}
+
+func startDeployment() *deployment {
+	GinkgoHelper()
+	rulesFile := filepath.Join(GinkgoT().TempDir(), "rules.toml")
+	Expect(os.WriteFile(rulesFile, []byte(examples.Rules), 0o600)).To(Succeed())
+	d := &deployment{platform: startChild("platform"), targets: map[string]*child{}}
+	for _, id := range []string{"t1", "t2", "t3"} {
+		d.targets[id] = startChild("target", id, d.platform.address)
+	}
+	for _, name := range []string{"e1", "e2", "e3"} {
+		d.instances = append(d.instances, startChild("instance", name, d.platform.address, rulesFile))
+	}
+	for i := range d.instances {
+		Eventually(func() int { return d.book(i, "warm-up", fmt.Sprint("warm", i)).status }, "20s", "50ms").Should(Equal(200))
+	}
+	return d
+}
+
+// booking is what a caller learned about its request.
+type booking struct {
+	status  int
+	outcome wire.Outcome
+	target  string
+	body    string
+}
+
+var caller = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// book makes a booking, which must not run twice, through an instance.
+func (d *deployment) book(instance int, key, id string) booking {
+	resp, err := caller.Post("http://"+d.instances[instance].address+"/bookings/"+key, "text/plain", strings.NewReader(id))
+	if err != nil {
+		return booking{outcome: wire.Unknown}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
+	if err != nil {
+		outcome = wire.Unknown
+	}
+	return booking{resp.StatusCode, outcome, resp.Header.Get(wire.HeaderTarget), string(body)}
+}
+
+// callers make bookings all the time, and remember what they were told.
+type callers struct {
+	d    *deployment
+	stop chan struct{}
+	done sync.WaitGroup
+	mu   sync.Mutex
+	told map[string]booking
+}
+
+const (
+	callerCount = 12
+	keyCount    = 40
+)
+
+func (d *deployment) startCallers() *callers {
+	c := &callers{d: d, stop: make(chan struct{}), told: map[string]booking{}}
+	for n := range callerCount {
+		c.done.Go(func() { c.run(n) })
+	}
+	return c
+}
+
+func (c *callers) run(n int) {
+	for i := 0; ; i++ {
+		select {
+		case <-c.stop:
+			return
+		default:
+		}
+		id := fmt.Sprintf("c%d-%d", n, i)
+		b := c.d.book((n+i)%len(c.d.instances), fmt.Sprint("key", (n*7+i)%keyCount), id)
+		c.mu.Lock()
+		c.told[id] = b
+		c.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// answered counts the bookings that were answered by now.
+func (c *callers) answered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, b := range c.told {
+		if b.outcome == wire.Answered {
+			count++
+		}
+	}
+	return count
+}
+
+// enoughAnswers is how many bookings must be answered for a test to say anything.
+const enoughAnswers = 200
+
+// finish ends the callers and compares what they were told with what the targets ran. What
+// the skipped target ran is lost with it.
+func (c *callers) finish(skip ...string) {
+	GinkgoHelper()
+	Eventually(c.answered, "30s", "50ms").Should(BeNumerically(">", enoughAnswers))
+	close(c.stop)
+	c.done.Wait()
+	ran := map[string]int{}
+	for id, target := range c.d.targets {
+		if len(skip) > 0 && skip[0] == id {
+			continue
+		}
+		for _, r := range target.runs() {
+			ran[r.Body]++
+		}
+	}
+	for id, b := range c.told {
+		Expect(ran[id]).To(BeNumerically("<=", 1), "booking %s ran more than once", id)
+		switch b.outcome {
+		case wire.Answered:
+			Expect(b.body).To(ContainSubstring("with "+id+"\n"), "booking %s got another's answer", id)
+			if len(skip) == 0 || b.target != skip[0] {
+				Expect(ran[id]).To(Equal(1), "booking %s was answered and did not run", id)
+			}
+		case wire.NotRun:
+			Expect(ran[id]).To(BeZero(), "booking %s was refused as not run, and ran", id)
+		}
+	}
+}
+
+func (c *child) runs() []standin.Run {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + c.address + "/standin/runs")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var runs []standin.Run
+	Expect(json.NewDecoder(resp.Body).Decode(&runs)).To(Succeed())
+	return runs
+}
+
+// status asks an instance for the state of the deployment.
+func (c *child) status() (mode, leader string) {
+	req, _ := http.NewRequest("GET", "http://"+c.admin+"/v1/status", bytes.NewReader(nil))
+	req.Header.Set("Authorization", "Bearer "+testSecret)
+	resp, err := caller.Do(req)
+	if err != nil {
+		return "", ""
+	}
+	defer resp.Body.Close()
+	var s struct {
+		Mode   string
+		Leader struct{ ID string }
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	name, _, _ := strings.Cut(s.Leader.ID, ".")
+	return s.Mode, name
+}
+
+// leader returns the index of the instance that leads.
+func (d *deployment) leader() int {
+	GinkgoHelper()
+	_, name := d.instances[0].status()
+	var i int
+	_, err := fmt.Sscanf(name, "e%d", &i)
+	Expect(err).NotTo(HaveOccurred())
+	return i - 1
+}
+
+// ownerOf returns the target that answers for a key.
+func (d *deployment) ownerOf(key string) string {
+	GinkgoHelper()
+	b := d.book(0, key, "who-owns-"+key)
+	Expect(b.outcome).To(Equal(wire.Answered))
+	return b.target
+}
+
+var _ = Describe("a deployment of processes", func() {
+	// Symptom: bookings are lost, made twice, or wrongly called not run.
+	// Sequence: the owner of a key is killed with SIGKILL under load.
+	// Cause: a process is lost at any instruction.
+	It("keeps its promises to callers when an owner is killed", func() {
+		d := startDeployment()
+		c := d.startCallers()
+		victim := d.ownerOf("key1")
+		d.targets[victim].signal(syscall.SIGKILL)
+		Eventually(func() string { return d.book(1, "key1", "after-kill").target }, "20s", "100ms").ShouldNot(BeElementOf("", victim))
+		c.finish(victim)
+	})
+
+	// Symptom: a target that was stopped runs bookings after its keys have moved.
+	// Sequence: the owner is stopped with SIGSTOP with requests in hand, its keys move, and
+	// it goes on with SIGCONT.
+	// Cause: the process does not know that it was stopped.
+	It("runs nothing twice when an owner is stopped and goes on", func() {
+		d := startDeployment()
+		c := d.startCallers()
+		victim := d.ownerOf("key1")
+		d.targets[victim].signal(syscall.SIGSTOP)
+		Eventually(func() string { return d.book(1, "key1", "after-stop").target }, "20s", "100ms").ShouldNot(BeElementOf("", victim))
+		d.targets[victim].signal(syscall.SIGCONT)
+		Eventually(func() []standin.Run { return d.targets[victim].runs() }, "10s").ShouldNot(BeEmpty())
+		c.finish()
+	})
+
+	// Symptom: an instance that was stopped past its session sends old work when it goes on.
+	// Sequence: the leader is stopped with SIGSTOP; another leads; the former goes on.
+	// Cause: a lease lapses while its holder is paused and unaware of it.
+	It("keeps its promises when the leader is stopped, replaced, and goes on", func() {
+		d := startDeployment()
+		c := d.startCallers()
+		former := d.leader()
+		other := d.instances[(former+1)%3]
+		d.instances[former].signal(syscall.SIGSTOP)
+		Eventually(func() string { _, name := other.status(); return name }, "20s", "100ms").ShouldNot(BeElementOf("", fmt.Sprint("e", former+1)))
+		d.instances[former].signal(syscall.SIGCONT)
+		Eventually(func() wire.Outcome { return d.book(former, "key1", "after-wake").outcome }, "20s", "100ms").Should(Equal(wire.Answered))
+		c.finish()
+	})
+
+	// Symptom: nothing is served while the platform is out of service.
+	// Sequence: the platform is stopped with SIGSTOP for longer than every lease and
+	// session; the leader is killed meanwhile; the platform goes on.
+	// Cause: leases in a table cannot be renewed without it.
+	It("serves without the platform, also after the loss of the leader", func() {
+		d := startDeployment()
+		c := d.startCallers()
+		former := d.leader()
+		other := (former + 1) % 3
+		d.platform.signal(syscall.SIGSTOP)
+		Eventually(func() string { mode, _ := d.instances[former].status(); return mode }, "20s", "50ms").Should(Equal("static"))
+		d.instances[former].signal(syscall.SIGKILL)
+		time.Sleep(6 * time.Second)
+		Expect(d.book(other, "key1", "in-outage").outcome).To(Equal(wire.Answered))
+		d.platform.signal(syscall.SIGCONT)
+		Eventually(func() string { mode, _ := d.instances[other].status(); return mode }, "40s", "100ms").Should(Equal("leading"))
+		c.finish()
+	})
+
+	// Symptom: requests in progress break when an instance is replaced.
+	// Sequence: SIGTERM under load.
+	// Cause: a shutdown that does not wait.
+	It("cuts off no request in progress on SIGTERM", func() {
+		d := startDeployment()
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		outcomes := map[wire.Outcome]int{}
+		for n := range 8 {
+			wg.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					conn, err := net.Dial("tcp", d.instances[1].address)
+					if err != nil {
+						// The instance takes no new connections any more.
+						return
+					}
+					conn.Close()
+					b := d.book(1, fmt.Sprint("key", i%keyCount), fmt.Sprintf("term-%d-%d", n, i))
+					mu.Lock()
+					if b.status != 0 {
+						outcomes[b.outcome]++
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.instances[1].signal(syscall.SIGTERM)
+		Expect(d.instances[1].cmd.Wait()).To(Succeed())
+		close(stop)
+		wg.Wait()
+		Expect(outcomes).NotTo(HaveKey(wire.Unknown))
+		Expect(outcomes[wire.Answered]).To(BeNumerically(">", 10))
+	})
+})
