Add the operators' command line; measure what control costs

Change: lycheehall with check, apply, show, diff, history, rollback, status, explain, move, drain, timeline, and exit codes; a benchmark of control in virtual time.

--- /dev/null
+++ b/cmd/lycheehall/main.go
@@ -0,0 +1,159 @@
+// Command lycheehall is the operators' command line.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+// version is printed by --version.
+const version = "0.1.0"
+
+// Exit codes; docs/OPERATIONS.md describes them.
+const (
+	exitOK = 0
+	// exitFailed: the instance could not be reached, or refused for another reason.
+	exitFailed = 1
+	// exitInvalid: the input is not valid; nothing was changed.
+	exitInvalid = 2
+	// exitConflict: somebody else's change came first; nothing was changed.
+	exitConflict = 3
+	// exitUncertain: the change may have been accepted; repeat it with the same change id.
+	exitUncertain = 4
+	// exitNotEverywhere: accepted, but not yet in force everywhere when the wait ended.
+	exitNotEverywhere = 5
+)
+
+// exitError is an error with the exit code it leads to.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
+
+func (e exitError) Unwrap() error { return e.err }
+
+func failf(code int, format string, args ...any) error {
+	return exitError{code, fmt.Errorf(format, args...)}
+}
+
+// options are the values of all flags and positions.
+type options struct {
+	admin  string
+	token  string
+	json   bool
+	author string
+	file   string
+	base   uint64
+	change string
+	wait   time.Duration
+
+	version uint64
+	method  string
+	path    string
+	header  []string
+	caller  string
+	service string
+	slot    int
+	target  string
+	undo    bool
+}
+
+// command is a subcommand with its action.
+type command struct {
+	sub *flaggy.Subcommand
+	run func(c *client, o *options) error
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	o := &options{
+		admin:  "127.0.0.1:8082",
+		token:  os.Getenv("LYCHEEHALL_TOKEN"),
+		author: os.Getenv("USER"),
+		wait:   20 * time.Second,
+	}
+	commands := parse(o)
+	for _, c := range commands {
+		if c.sub.Used {
+			return exitCode(c.run(newClient(o), o))
+		}
+	}
+	fmt.Fprintln(os.Stderr, "lycheehall: give a command; --help lists them")
+	return exitInvalid
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var coded exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return exitFailed
+}
+
+// parse declares the commands and reads the command line.
+func parse(o *options) []command {
+	flaggy.SetName("lycheehall")
+	flaggy.SetDescription("Operates a deployment of lycheehall.")
+	flaggy.SetVersion(version)
+	flaggy.String(&o.admin, "a", "admin", "Address of an instance's operator listener.")
+	flaggy.String(&o.token, "", "token", "Operator token; default $LYCHEEHALL_TOKEN.")
+	flaggy.Bool(&o.json, "", "json", "Print JSON.")
+	var list []command
+	add := func(name, description string, run func(*client, *options) error) *flaggy.Subcommand {
+		sub := flaggy.NewSubcommand(name)
+		sub.Description = description
+		flaggy.AttachSubcommand(sub, 1)
+		list = append(list, command{sub, run})
+		return sub
+	}
+	check := add("check", "Check a file of rules; nothing is changed.", runCheck)
+	check.AddPositionalValue(&o.file, "file", 1, true, "File of rules.")
+	apply := add("apply", "Put a file of rules in force and wait until it is so everywhere.", runApply)
+	apply.AddPositionalValue(&o.file, "file", 1, true, "File of rules.")
+	declareChange(apply, o)
+	add("show", "Print the rules in force.", runShow)
+	diff := add("diff", "Compare a file with the rules in force.", runDiff)
+	diff.AddPositionalValue(&o.file, "file", 1, true, "File of rules.")
+	add("history", "List the versions of the rules.", runHistory)
+	rollback := add("rollback", "Put an earlier version in force again, as a new version.", runRollback)
+	rollback.UInt64(&o.version, "v", "to", "Version to go back to.")
+	declareChange(rollback, o)
+	add("status", "Show instances, targets and versions in force.", runStatus)
+	declareExplain(add("explain", "Tell what would happen to a request.", runExplain), o)
+	move := add("move", "Give a slot to a target.", runMove)
+	move.AddPositionalValue(&o.service, "service", 1, true, "Service.")
+	move.Int(&o.slot, "s", "slot", "Slot to move.")
+	move.String(&o.target, "t", "target", "Target that shall own it.")
+	drain := add("drain", "Move everything away from a target.", runDrain)
+	drain.AddPositionalValue(&o.service, "service", 1, true, "Service.")
+	drain.AddPositionalValue(&o.target, "target", 2, true, "Target.")
+	drain.Bool(&o.undo, "", "undo", "Let the target own slots again.")
+	add("timeline", "Print the events of all instances in causal order.", runTimeline)
+	flaggy.Parse()
+	return list
+}
+
+func declareChange(sub *flaggy.Subcommand, o *options) {
+	sub.UInt64(&o.base, "b", "base", "Version the change starts from; default: the one in force.")
+	sub.String(&o.change, "", "change-id", "Id of the change; repeat it to retry after a lost answer.")
+	sub.String(&o.author, "", "author", "Who makes the change.")
+	sub.Duration(&o.wait, "w", "wait", "How long to wait until it is in force everywhere.")
+}
+
+func declareExplain(sub *flaggy.Subcommand, o *options) {
+	sub.AddPositionalValue(&o.method, "method", 1, true, "HTTP method.")
+	sub.AddPositionalValue(&o.path, "path", 2, true, "Path with query.")
+	sub.StringSlice(&o.header, "H", "header", "Header as Name: value; may be repeated.")
+	sub.String(&o.caller, "c", "caller", "Caller.")
+}
--- a/coordination/node/harness_test.go
+++ b/coordination/node/harness_test.go
@@ -86,6 +86,9 @@
 	watches map[uint64]func(message.WatchReply)
 	tokens  uint64
 	results map[uint64]message.ProposalResult
+
+	// cost is what the process spends; it is kept only when the harness measures.
+	cost *cost
 }
 
 // flight is a request of an instance under way to a target.
@@ -249,6 +252,7 @@
 
 // input gives the node an input, lets its time pass, and carries out what follows.
 func (p *proc) input(fn func(now clock.Instant) []Effect) {
+	defer p.cost.timed()()
 	if fn != nil {
 		p.carryOut(fn(p.clock()))
 	}
@@ -403,6 +407,7 @@
 func (p *proc) sendHeartbeat(s *SendHeartbeat) {
 	to := p.h.proc(s.To)
 	var reply message.HeartbeatReply
+	p.cost.sent(s.Request)
 	p.call(to, 300*time.Millisecond, func(answer func(func())) {
 		var r message.HeartbeatReply
 		to.input(func(now clock.Instant) (effects []Effect) {
@@ -410,6 +415,7 @@
 			return effects
 		})
 		to.ring.Witness(p.ring.Lamport())
+		to.cost.sent(r)
 		answer(func() { reply = r; p.ring.Witness(to.ring.Lamport()) })
 	}, func(ok bool) {
 		p.input(func(now clock.Instant) []Effect { return p.node.HeartbeatDone(now, s.SentAt, reply, ok) })
@@ -419,10 +425,12 @@
 func (p *proc) sendWatch(s *SendWatch) {
 	to := p.h.proc(s.To)
 	var reply message.WatchReply
+	p.cost.sent(s.Request)
 	p.call(to, 8*time.Second, func(answer func(func())) {
 		to.tokens++
 		token := to.tokens
 		to.watches[token] = func(r message.WatchReply) {
+			to.cost.sent(r)
 			answer(func() { reply = r; p.ring.Witness(to.ring.Lamport()) })
 		}
 		to.input(func(now clock.Instant) []Effect { return to.node.WatchReceived(now, token, s.Request) })
@@ -442,6 +450,7 @@
 func (p *proc) sendGrant(s *SendGrant) {
 	t := p.h.target(s.Address)
 	var reply message.GrantReply
+	p.cost.sentGrant(s.Grant)
 	p.call(&t.proc, 150*time.Millisecond, func(answer func(func())) {
 		r := message.GrantReply{Accepted: true}
 		if s.Fenced {
@@ -472,6 +481,7 @@
 	if h.cut(p.id, "table") {
 		return
 	}
+	p.cost.table()
 	h.after(tableDelay/2+h.table.delay, func() {
 		h.table.calls++
 		if h.table.down || h.table.failEvery > 0 && h.table.calls%h.table.failEvery == 0 {
