Send the roster of instances only when it has changed

Cause: every answer to a heartbeat listed all instances, so the leader's bytes grew with the square of their number. Change: the roster goes out when its sum differs from the asker's; the leader keeps it until a session begins or ends, or the row is written.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -4,8 +4,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lycheehall.example/lycheehall/coordination/authority"
 	"lycheehall.example/lycheehall/coordination/ownership"
 	"lycheehall.example/lycheehall/state"
@@ -41,6 +44,8 @@
 	From Peer
 	// Have is the state the instance holds.
 	Have authority.Versions
+	// Roster is the sum of the roster that the asker has.
+	Roster uint64
 	// Acked is the state older than which it no longer uses anything.
 	Acked       authority.Versions
 	Confirmed   []Confirmation
@@ -59,19 +64,37 @@
 	Term    uint64
 	// Leader is the instance that leads as far as the answerer knows.
 	Leader Peer
-	// Named lists all instances that may issue sessions during a store outage.
-	Named []Peer
+	// Roster is set when it differs from the asker's.
+	Roster *Roster
 	// Resumed says that the state is frozen and that slots whose move was cut short are
 	// served by their former owner meanwhile; see ownership.Map.Resume.
 	Resumed bool
-	// Instances lists the ids of all instances with a session.
-	Instances []string
 	// Suspects are targets that every instance shall try to reach and report on.
 	Suspects SuspectList
 	Update   Update
 	Lamport  uint64
 }
 
+// Roster lists instances. It changes rarely and is sent only when it has.
+type Roster struct {
+	// Named are the instances that may issue sessions during an outage of the table.
+	Named []Peer
+	// Instances are the ids of all instances with a session.
+	Instances []string
+}
+
+// Sum returns a number that differs for different rosters; it is never 0.
+func (r Roster) Sum() uint64 {
+	h := xxhash.New()
+	for _, p := range r.Named {
+		fmt.Fprintf(h, "%s %s %s\n", p.ID, p.Address, p.DataCentre)
+	}
+	for _, id := range r.Instances {
+		fmt.Fprintln(h, id)
+	}
+	return max(1, h.Sum64())
+}
+
 // SuspectList lists the targets that some instance could not reach. Version grows with
 // each change of the list.
 type SuspectList struct {
--- a/coordination/node/change.go
+++ b/coordination/node/change.go
@@ -23,6 +23,7 @@
 	change *pendingChange
 	nextID uint64
 
+	roster    rosterCache
 	suspects  message.SuspectList
 	lost      map[string]bool
 	confirmed map[string]uint64
--- a/coordination/node/grants.go
+++ b/coordination/node/grants.go
@@ -72,7 +72,7 @@
 func (n *Node) responsible(target string) bool {
 	mine := rendezvous(n.cfg.Self.ID, target)
 	higher := 0
-	for _, id := range n.instances {
+	for _, id := range n.known.Instances {
 		if id != n.cfg.Self.ID && rendezvous(id, target) > mine {
 			higher++
 		}
--- a/coordination/node/heartbeat.go
+++ b/coordination/node/heartbeat.go
@@ -15,7 +15,6 @@
 	inFlight bool
 	// leader is whom to ask; attempt counts failures and picks others in turn.
 	leader  message.Peer
-	named   []message.Peer
 	attempt int
 	term    uint64
 	// givenBack says that an issuer has answered the end of the session.
@@ -57,6 +56,7 @@
 	return message.HeartbeatRequest{
 		From:        n.cfg.Self,
 		Have:        n.Versions(),
+		Roster:      n.known.Sum(),
 		Acked:       authority.Versions{Map: n.acked(), Rules: n.rules.Version},
 		Confirmed:   confirmed,
 		Reachable:   reachable,
@@ -86,7 +86,7 @@
 	add(n.heartbeat.leader.Address)
 	row := n.machine.Row()
 	add(n.addresses[row.Leader].Address)
-	for _, p := range n.heartbeat.named {
+	for _, p := range n.known.Named {
 		add(p.Address)
 	}
 	for _, id := range row.Standbys {
@@ -125,7 +125,7 @@
 		return
 	}
 	n.heartbeat.term = max(n.heartbeat.term, reply.Term)
-	n.learnNamed(reply)
+	n.learnRoster(reply)
 	if !reply.Granted {
 		n.heartbeat.attempt++
 		if reply.Leader.ID != "" && reply.Leader.ID != n.heartbeat.leader.ID {
@@ -138,9 +138,6 @@
 	n.heartbeat.leader = reply.Leader
 	n.heartbeat.attempt = 0
 	n.suspects = reply.Suspects
-	if len(reply.Instances) > 0 {
-		n.instances = reply.Instances
-	}
 	n.adopt(now, reply.Update)
 	n.resume(reply.Resumed)
 	if n.ended {
@@ -150,13 +147,14 @@
 	n.publish()
 }
 
-func (n *Node) learnNamed(reply message.HeartbeatReply) {
+func (n *Node) learnRoster(reply message.HeartbeatReply) {
 	n.learn(reply.Leader)
-	for _, p := range reply.Named {
-		n.learn(p)
+	if reply.Roster == nil {
+		return
 	}
-	if len(reply.Named) > 0 {
-		n.heartbeat.named = reply.Named
+	n.known = *reply.Roster
+	for _, p := range n.known.Named {
+		n.learn(p)
 	}
 }
 
--- a/coordination/node/issue.go
+++ b/coordination/node/issue.go
@@ -63,11 +63,6 @@
 	reply.Granted = true
 	reply.Length = n.machine.SessionLength(now)
 	reply.Leader = n.cfg.Self
-	for _, id := range row.Members() {
-		if p, known := n.addresses[id]; known {
-			reply.Named = append(reply.Named, p)
-		}
-	}
 	reply.Update = n.updateFor(req.Have)
 	reply.Suspects = n.leader.suspects
 	reply.Resumed = n.resuming(now)
@@ -81,13 +76,46 @@
 		Unreachable: req.Unreachable,
 		HeardAt:     now,
 	}, reply.Length)
-	for _, e := range n.ledger.Entries() {
-		reply.Instances = append(reply.Instances, e.ID)
+	if known := n.currentRoster(); known.sum != req.Roster {
+		reply.Roster = &known.roster
 	}
 	n.noteConfirmed(req.Confirmed)
 	return reply
 }
 
+// rosterCache holds the roster as of one epoch of the ledger and one write of the row.
+type rosterCache struct {
+	epoch  uint64
+	nonce  uint64
+	roster message.Roster
+	sum    uint64
+}
+
+// currentRoster returns the roster without making it anew for each heartbeat.
+func (n *Node) currentRoster() rosterCache {
+	nonce := n.machine.Row().Nonce
+	if c := n.leader.roster; c.sum != 0 && c.epoch == n.ledger.Epoch() && c.nonce == nonce {
+		return c
+	}
+	r := n.roster()
+	n.leader.roster = rosterCache{epoch: n.ledger.Epoch(), nonce: nonce, roster: r, sum: r.Sum()}
+	return n.leader.roster
+}
+
+// roster returns the instances as this issuer knows them.
+func (n *Node) roster() message.Roster {
+	var r message.Roster
+	for _, id := range n.machine.Row().Members() {
+		if p, known := n.addresses[id]; known {
+			r.Named = append(r.Named, p)
+		}
+	}
+	for _, e := range n.ledger.Entries() {
+		r.Instances = append(r.Instances, e.ID)
+	}
+	return r
+}
+
 // resuming reports whether moves that were cut short are undone for the time being:
 // because nobody can finish them, or because a new leader has to wait before it may.
 func (n *Node) resuming(now clock.Instant) bool {
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -96,7 +96,7 @@
 	targets   map[string]*targetState
 	failing   []string
 	suspects  message.SuspectList
-	instances []string
+	known     message.Roster
 	leaving   bool
 	// ended says that the session was given up for good.
 	ended bool
--- a/coordination/session/session.go
+++ b/coordination/session/session.go
@@ -57,6 +57,7 @@
 type Ledger struct {
 	margin  time.Duration
 	entries map[string]*Entry
+	epoch   uint64
 }
 
 // NewLedger returns an empty ledger. margin covers clocks of different rates.
@@ -76,11 +77,20 @@
 		}
 		e.AckedRules = max(e.AckedRules, old.AckedRules)
 	}
+	if l.entries[e.ID] == nil {
+		l.epoch++
+	}
 	l.entries[e.ID] = &e
 }
 
+// Epoch grows whenever an instance gets its first session or loses it.
+func (l *Ledger) Epoch() uint64 { return l.epoch }
+
 // End removes the session of an instance that has given it back.
-func (l *Ledger) End(id string) { delete(l.entries, id) }
+func (l *Ledger) End(id string) {
+	l.epoch++
+	delete(l.entries, id)
+}
 
 // Expire removes the sessions that have run out.
 func (l *Ledger) Expire(now clock.Instant) []string {
@@ -88,6 +98,7 @@
 	for id, e := range l.entries {
 		if now >= e.Until {
 			ended = append(ended, id)
+			l.epoch++
 			delete(l.entries, id)
 		}
 	}
