--- a/coordination/node/grants.go
+++ b/coordination/node/grants.go
@@ -53,8 +53,28 @@
 	}
 }
 
-// duties returns the targets to look after, in order.
+// dutyCache holds the duties for one state of everything they depend on.
+type dutyCache struct {
+	working  *ownership.Map
+	rules    uint64
+	roster   uint64
+	suspects uint64
+	list     []duty
+}
+
+// duties returns the targets to look after, in order. The list is kept until something it
+// depends on has changed: to hash every instance with every target at each step would cost
+// more than all the rest.
 func (n *Node) duties() []duty {
+	c := &n.duty
+	if c.working == n.working && c.rules == n.rules.Version && c.roster == n.rosterEpoch && c.suspects == n.suspects.Version {
+		return c.list
+	}
+	n.duty = dutyCache{n.working, n.rules.Version, n.rosterEpoch, n.suspects.Version, n.listDuties()}
+	return n.duty.list
+}
+
+func (n *Node) listDuties() []duty {
 	var out []duty
 	for _, service := range n.working.ServiceNames() {
 		spec := n.specs[service]
--- a/coordination/node/heartbeat.go
+++ b/coordination/node/heartbeat.go
@@ -56,7 +56,7 @@
 	return message.HeartbeatRequest{
 		From:        n.cfg.Self,
 		Have:        n.Versions(),
-		Roster:      n.known.Sum(),
+		Roster:      n.rosterSum,
 		Acked:       authority.Versions{Map: n.acked(), Rules: n.rules.Version},
 		Confirmed:   confirmed,
 		Reachable:   reachable,
@@ -153,6 +153,8 @@
 		return
 	}
 	n.known = *reply.Roster
+	n.rosterSum = n.known.Sum()
+	n.rosterEpoch++
 	for _, p := range n.known.Named {
 		n.learn(p)
 	}
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -97,7 +97,11 @@
 	failing   []string
 	suspects  message.SuspectList
 	known     message.Roster
-	leaving   bool
+	// rosterEpoch grows with each change of known.
+	rosterEpoch uint64
+	rosterSum   uint64
+	duty        dutyCache
+	leaving     bool
 	// ended says that the session was given up for good.
 	ended bool
 
