--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,58 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Settings")
+}
+
+func load(text string) error {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "s.toml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	_, err := settings.Load(path)
+	return err
+}
+
+const secrets = "secret = \"0123456789abcdef\"\noperator_token = \"0123456789abcdef\"\n"
+
+var _ = Describe("settings", func() {
+	It("are valid with the defaults and secrets", func() {
+		Expect(load(secrets)).To(Succeed())
+	})
+
+	It("are printed in a form that is read back", func() {
+		s := settings.Default()
+		s.Secret, s.OperatorToken = "0123456789abcdef", "0123456789abcdef"
+		text, err := settings.Print(s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(load(text)).To(Succeed())
+	})
+
+	DescribeTable("name the field and the fix",
+		func(text, want string) { Expect(load(secrets + text)).To(MatchError(ContainSubstring(want))) },
+		Entry("unknown field", "colour = 1\n", "s.toml:3: colour: unknown field"),
+		Entry("host name", `peer = "host:1"`, `peer: is "host:1"; write an IP number`),
+		Entry("no port", `listen = "127.0.0.1"`, "listen: "),
+		Entry("bad duration", `window = "fast"`, "write a duration"),
+		Entry("negative duration", `grace = "-1s"`, "grace: is -1s"),
+		Entry("level", `log_level = "loud"`, "log_level: is \"loud\""),
+	)
+
+	It("report all mistakes at once", func() {
+		err := load("name = \"\"\nmax_waiting = 0\n")
+		for _, field := range []string{"name: ", "max_waiting: ", "secret: ", "operator_token: "} {
+			Expect(err).To(MatchError(ContainSubstring(field)))
+		}
+	})
+})
