--- a/coordination/node/change.go
+++ b/coordination/node/change.go
@@ -35,6 +35,10 @@
 	// loadedMap is the map version that was read from the table.
 	loadedMap uint64
 
+	// lookedAt is the map for which anyMoving says whether a slot is between owners.
+	lookedAt  *ownership.Map
+	anyMoving bool
+
 	proposals  []pendingProposal
 	everywhere uint64
 	nextPlan   clock.Instant
--- a/coordination/node/moves.go
+++ b/coordination/node/moves.go
@@ -21,7 +21,7 @@
 
 // planEvery is the time between looks at the membership and the balance when nothing
 // has been reported.
-const planEvery = 100 * time.Millisecond
+const planEvery = 250 * time.Millisecond
 
 func (n *Node) noteConfirmed(list []message.Confirmation) {
 	for _, c := range list {
@@ -102,7 +102,7 @@
 // former issuer gave out count until they are surely over; those that have run out need
 // no acknowledgement, because their grants end with them.
 func (n *Node) noteAcked(now clock.Instant) {
-	if now < n.machine.QuietAt() {
+	if now < n.machine.QuietAt() || !n.moving() {
 		return
 	}
 	floor := n.ledger.MapFloor()
@@ -118,6 +118,17 @@
 	}
 }
 
+// moving reports whether any slot is between owners. It looks at a map once only: most of
+// the time nothing moves, and looking at all slots at each step is what a leader would
+// spend most of its time on.
+func (n *Node) moving() bool {
+	if n.leader.lookedAt != n.owned {
+		n.leader.lookedAt = n.owned
+		n.leader.anyMoving = n.owned.Moving()
+	}
+	return n.leader.anyMoving
+}
+
 // released reports whether nobody can be running anything for the slot any more: no
 // instance sends with an older map, and the former owner has let go or its grant has
 // run out.
@@ -169,6 +180,9 @@
 
 // finishMoves gives slots whose former owner has let go to their next owner.
 func (n *Node) finishMoves(now clock.Instant) bool {
+	if !n.moving() {
+		return false
+	}
 	for _, name := range n.owned.ServiceNames() {
 		service := n.owned.Services[name]
 		spec, known := n.specs[name]
--- a/coordination/ownership/map.go
+++ b/coordination/ownership/map.go
@@ -94,6 +94,16 @@
 	return next
 }
 
+// Moving reports whether any slot is between owners.
+func (m *Map) Moving() bool {
+	for _, s := range m.Services {
+		if slices.ContainsFunc(s.Slots, state.Slot.Moving) {
+			return true
+		}
+	}
+	return false
+}
+
 // Resumable reports whether Resume would change anything.
 func (m *Map) Resumable() bool {
 	for _, s := range m.Services {
