Thaw only when the table takes writes; do not wait for one cut-off instance

Cause: thawing was decided by reads. When the table answered reads and took no writes, all named instances stopped issuing and the take could not be written: nothing was served. And every named instance had to reach the table, so one that was cut off from it kept the state frozen. Ruled out: refusing the promise while the own reads are answered; then nobody could freeze a state when only writes fail. Change: the instance that ends a freeze must have had reads and probing writes answered throughout; the others need not reach the table.

--- a/coordination/authority/freeze.go
+++ b/coordination/authority/freeze.go
@@ -126,6 +126,20 @@
 	return now >= m.steadySince.Add(wait)
 }
 
+// probeFresh is how many reads' time a probe stands for.
+const probeFresh = 5
+
+// writable reports whether the table has taken a write lately, and probes it when it is
+// time. A table that answers reads need not take writes; all instances would stop issuing,
+// and the take could not be written.
+func (m *Machine) writable(now clock.Instant) bool {
+	if now >= m.nextProbe {
+		m.nextProbe = now.Add(m.cfg.ReadEvery)
+		m.emit(Effect{Probe: true})
+	}
+	return now < m.probedAt.Add(probeFresh*m.cfg.ReadEvery)
+}
+
 // thaw leads out of a freeze. First a question that binds nobody, so that an instance
 // that cannot be reached does not make the others stop serving; then the order to
 // stop; then the take.
@@ -134,7 +148,11 @@
 		m.resend(now)
 		return
 	}
-	if stageOf(m.row) != m.newest || !m.steady(now) {
+	if stageOf(m.row) != m.newest || !m.answering(now) {
+		return
+	}
+	writable := m.writable(now)
+	if !m.steady(now) || !m.leaving && !writable {
 		return
 	}
 	if !m.agreed(m.ready) {
--- a/coordination/authority/inputs.go
+++ b/coordination/authority/inputs.go
@@ -109,6 +109,16 @@
 	return m.take()
 }
 
+// ProbeDone takes the answer to a probe. One that fails counts like a read that fails.
+func (m *Machine) ProbeDone(now clock.Instant, ok bool) {
+	if ok {
+		m.probedAt = now
+		return
+	}
+	m.steadySince = clock.Never
+	m.ready = nil
+}
+
 // landed takes over the rights that a write of ours gives, counted from before it was
 // first sent.
 func (m *Machine) landed(now clock.Instant, p *pendingWrite) {
@@ -157,7 +167,9 @@
 	case Commit:
 		m.onCommit(msg)
 	case LeaveQuery:
-		if m.canLeave(now, msg.Stage) && m.answering(now) {
+		// The asker needs the table, this instance does not: released or not, it issues
+		// nothing until it has read of a later stage.
+		if m.canLeave(now, msg.Stage) {
 			m.send(msg.From, LeaveReady, msg.Stage)
 		}
 	case Leave:
--- a/coordination/authority/machine.go
+++ b/coordination/authority/machine.go
@@ -27,7 +27,10 @@
 	// answeredAt is when the last read was answered.
 	answeredAt clock.Instant
 	nextRead   clock.Instant
-	reading    bool
+	// probedAt is when a probe was last known to have been written.
+	probedAt  clock.Instant
+	nextProbe clock.Instant
+	reading   bool
 
 	// leaseEnd is when the right to lead ends, counted from before the write was sent.
 	leaseEnd clock.Instant
@@ -69,6 +72,8 @@
 		rowSince:    clock.Never,
 		steadySince: clock.Never,
 		answeredAt:  clock.Never,
+		probedAt:    clock.Never,
+		nextProbe:   clock.Never,
 		leaseEnd:    clock.Never,
 		missing:     map[string]clock.Instant{},
 	}
--- a/coordination/authority/types.go
+++ b/coordination/authority/types.go
@@ -172,6 +172,8 @@
 	Send  *Envelope
 	Read  bool
 	Write *RowWrite
+	// Probe asks for a write that changes nothing; the answer goes to ProbeDone.
+	Probe bool
 	Event string
 }
 
--- a/coordination/authority/world_test.go
+++ b/coordination/authority/world_test.go
@@ -244,6 +244,9 @@
 		switch {
 		case e.Read:
 			p.reading = true
+		case e.Probe:
+			// Whether the take can be written is up to its own steps.
+			p.machine.ProbeDone(w.now, true)
 		case e.Write != nil:
 			w.send(p, *e.Write)
 		case e.Send != nil:
@@ -327,7 +330,7 @@
 func frozenAgain() *world {
 	return frozen().play(
 		"a write times out", "a write is lost", "a read", "b tick", "b read", "c tick", "c read", "time",
-		"a tick", "a read", "a->b leave-query{1 0}", "a->c leave-query{1 0}", "b->a leave-ready{1 0}", "c->a leave-ready{1 0}",
+		"a tick", "a read", "a tick", "a->b leave-query{1 0}", "a->c leave-query{1 0}", "b->a leave-ready{1 0}", "c->a leave-ready{1 0}",
 		"time", "a tick", "a->b leave{1 0}", "a->c leave{1 0}", "b->a leave-ack{1 0}", "c->a leave-ack{1 0}",
 		"a tick", "a write answered", "b tick", "b read", "c tick", "c read", "time",
 		"a tick", "time", "a write times out", "a tick",
@@ -365,7 +368,7 @@
 		} else {
 			fmt.Fprintf(&b, "|%d %v %d.%d %d %d %d %v %d %d %d %d %d k%d ch%d r%v %v %v%v%v%v %d %d", m.mode, m.newest, m.row.Term, m.row.Episode,
 				ver(m.rowVersion), rel(m.rowSince), rel(m.steadySince), m.reading, rel(m.nextRead), rel(m.leaseEnd), rel(m.quietUntil), rel(m.nextRenew), rel(m.nextSend),
-				p.known, rel(p.changing), p.reading, m.frozen, m.acks, m.ready, m.left, m.leaving, rel(m.answeredAt)*10+rel(m.nextCommit), rel(p.issuedUntil))
+				p.known, rel(p.changing), p.reading, m.frozen, m.acks, m.ready, m.left, m.leaving, rel(m.answeredAt)*100+rel(m.nextCommit)*10+rel(m.probedAt), rel(p.issuedUntil))
 			if q := m.pending; q != nil {
 				fmt.Fprintf(&b, " p%d %d %d %v %v", q.kind, nonces[q.write.ID], rel(q.sentAt), q.inFlight, q.thaw)
 			}
--- a/coordination/node/effects.go
+++ b/coordination/node/effects.go
@@ -42,6 +42,7 @@
 const (
 	commitRow commitPurpose = iota
 	commitChange
+	commitProbe
 )
 
 // TableCommit asks for a transaction; the answer goes to TableCommitDone.
@@ -118,6 +119,8 @@
 		n.runMachine(now, n.machine.WriteDone(now, id, outcome))
 	case commitChange:
 		n.changeDone(now, id, outcome)
+	case commitProbe:
+		n.machine.ProbeDone(now, outcome == authority.Applied)
 	}
 	return n.take()
 }
--- a/coordination/node/harness_test.go
+++ b/coordination/node/harness_test.go
@@ -105,6 +105,7 @@
 type fakeTable struct {
 	rows        map[string]state.Row
 	down        bool
+	readOnly    bool
 	loseAnswers bool
 	failEvery   int
 	delay       time.Duration
@@ -512,6 +513,9 @@
 func (p *proc) commitTable(c *TableCommit) {
 	outcome := authority.Unknown
 	p.tableCall(func() bool {
+		if p.h.table.readOnly {
+			return false
+		}
 		outcome = p.h.table.commit(c.Txn)
 		return !p.h.table.loseAnswers
 	}, func(ok bool) {
--- a/coordination/node/node.go
+++ b/coordination/node/node.go
@@ -176,6 +176,9 @@
 			n.emit(Effect{TableRead: &TableRead{ID: readRow, Keys: []string{state.KeyAuthority}}})
 		case e.Write != nil:
 			n.writeRow(e.Write)
+		case e.Probe:
+			txn := state.Txn{Writes: []state.Write{{Key: state.KeyProbe, Value: []byte("{}")}}}
+			n.emit(Effect{TableCommit: &TableCommit{Purpose: commitProbe, Txn: txn}})
 		}
 	}
 	n.noteMode(now)
--- a/coordination/node/outage_test.go
+++ b/coordination/node/outage_test.go
@@ -144,4 +144,44 @@
 		Entry("each call takes 300 ms longer", uint64(19), func(t *fakeTable) { t.delay = 300 * time.Millisecond }),
 		Entry("answers to calls are lost", uint64(20), func(t *fakeTable) { t.loseAnswers = true }),
 	)
+
+	// Symptom: all keys stop being served although the table still answers reads.
+	// Sequence: the table takes no writes; the leader freezes the state; reads are answered
+	// steadily, so all named instances stop issuing; the take cannot be written.
+	// Cause: a table that answers reads need not take writes.
+	It("serves every key while the table takes no writes", func() {
+		h, l := started(24, keyed)
+		s := h.startRecord()
+		_, all := h.slotsOf("")
+		s.note("the table takes no writes")
+		h.table.readOnly = true
+		h.run(time.Minute)
+		s.expectServed(l, "while it takes none", all)
+		s.note("the table takes writes again")
+		h.table.readOnly = false
+		h.run(15 * time.Second)
+		s.expectServed(l, "afterwards", all)
+		Expect(h.leader()).NotTo(BeNil())
+		h.expectNoViolation()
+		s.matches("table-read-only")
+	})
+
+	// Symptom: nothing can be changed although all but one instance reach the table.
+	// Sequence: the leader alone is cut off from the table; it freezes the state with its
+	// standbys; they wait for it to reach the table again.
+	// Cause: leaving a frozen state needs the table at one instance, not at all.
+	It("leads again elsewhere when the leader alone is cut off from the table", func() {
+		h, l := started(25, keyed)
+		s := h.startRecord()
+		_, all := h.slotsOf("")
+		former := h.leader()
+		s.note("the leader %s is cut off from the table", former.id)
+		h.block(former.id, "table")
+		h.run(10 * time.Second)
+		s.expectServed(l, "meanwhile", all)
+		Expect(h.leader()).NotTo(BeNil())
+		Expect(h.leader()).NotTo(Equal(former))
+		h.expectNoViolation()
+		s.matches("leader-cut-from-table")
+	})
 })
--- a/state/records.go
+++ b/state/records.go
@@ -12,6 +12,9 @@
 	// KeyTerm changes only when the leader changes. Every other write is
 	// conditional on it, so that a late write of a former leader cannot land.
 	KeyTerm = "term"
+	// KeyProbe is written to find out whether the table takes writes; its value means
+	// nothing.
+	KeyProbe = "probe"
 	// KeyMap holds the version of the ownership map.
 	KeyMap = "map"
 	// KeyRules holds the configuration in force.
