Print JSON from every command; mend comments and names

Ruled out: nothing. Change: each prints its result as JSON, with progress on standard error; settings name the file on each line of a list of mistakes. Conclusion: done.

--- a/cmd/lycheehall/operate.go
+++ b/cmd/lycheehall/operate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -20,6 +21,23 @@
 	return enc.Encode(v)
 }
 
+// report prints a result as JSON or as text.
+func report(o *options, result any, format string, args ...any) error {
+	if o.json {
+		return printJSON(result)
+	}
+	fmt.Printf(format, args...)
+	return nil
+}
+
+// progressWriter returns where progress goes: not among the JSON.
+func progressWriter(o *options) io.Writer {
+	if o.json {
+		return os.Stderr
+	}
+	return os.Stdout
+}
+
 func runStatus(c *client, o *options) error {
 	var s message.Status
 	if err := c.get("/v1/status", &s); err != nil {
@@ -106,7 +124,9 @@
 	if err := c.do("POST", "/v1/move", admin.MoveRequest{Service: o.service, Slot: o.slot, Target: o.target}, &res); err != nil {
 		return err
 	}
-	fmt.Printf("accepted as map version %d\n", res.Version)
+	if err := report(o, res, "accepted as map version %d\n", res.Version); err != nil {
+		return err
+	}
 	return waitSettled(c, o, func(s *state.ServiceSlots) bool {
 		slot := s.Slots[o.slot]
 		return slot.Owner == o.target && !slot.Moving()
@@ -118,7 +138,9 @@
 	if err := c.do("POST", "/v1/drain", admin.DrainRequest{Service: o.service, Target: o.target, Undo: o.undo}, &res); err != nil {
 		return err
 	}
-	fmt.Printf("accepted as map version %d\n", res.Version)
+	if err := report(o, res, "accepted as map version %d\n", res.Version); err != nil {
+		return err
+	}
 	if o.undo {
 		return nil
 	}
@@ -140,7 +162,7 @@
 			continue
 		}
 		if service := s.Map.Services[o.service]; service != nil && done(service) {
-			fmt.Println("done")
+			fmt.Fprintln(progressWriter(o), "done")
 			return nil
 		}
 	}
--- a/cmd/lycheehall/rules.go
+++ b/cmd/lycheehall/rules.go
@@ -31,10 +31,26 @@
 		return err
 	}
 	set, _ := rules.Parse(o.file, text)
+	if o.json {
+		return printJSON(checkResult{File: o.file, Services: len(set.Services()), Rules: len(set.Rules())})
+	}
 	fmt.Printf("%s is valid: %d services, %d rules\n", o.file, len(set.Services()), len(set.Rules()))
 	return nil
 }
 
+// checkResult is what check prints as JSON.
+type checkResult struct {
+	File     string `json:"file"`
+	Services int    `json:"services"`
+	Rules    int    `json:"rules"`
+}
+
+// changeResult is what apply and rollback print as JSON; progress goes to standard error.
+type changeResult struct {
+	admin.Result
+	ChangeID string `json:"change_id"`
+}
+
 func runApply(c *client, o *options) error {
 	text, err := readRules(o.file)
 	if err != nil {
@@ -60,7 +76,9 @@
 	if err := c.do("POST", "/v1/rules", req, &res); err != nil {
 		return fmt.Errorf("%w\n(change id %s)", err, o.change)
 	}
-	fmt.Printf("accepted as version %d (change id %s)\n", res.Version, o.change)
+	if err := report(o, changeResult{res, o.change}, "accepted as version %d (change id %s)\n", res.Version, o.change); err != nil {
+		return err
+	}
 	return waitEverywhere(c, o, res.Version)
 }
 
@@ -77,7 +95,7 @@
 		if err == nil {
 			progress, behind := inForce(s, version)
 			if progress != last {
-				fmt.Println(progress)
+				fmt.Fprintln(progressWriter(o), progress)
 				last = progress
 			}
 			if len(behind) == 0 {
--- a/coordination/authority/types.go
+++ b/coordination/authority/types.go
@@ -207,6 +207,6 @@
 	sentAt clock.Instant
 	// inFlight is false once the driver has given up waiting.
 	inFlight bool
-	// after tells whether the take follows a thaw, whose sessions have full length.
+	// thaw says that a take ends a freeze, whose sessions have full length.
 	thaw bool
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,7 +91,7 @@
 		return s, err
 	}
 	if err := s.Validate(); err != nil {
-		return s, fmt.Errorf("%s: %w", path, err)
+		return s, errors.New(path + ": " + strings.ReplaceAll(err.Error(), "\n", "\n"+path+": "))
 	}
 	return s, nil
 }
--- a/transport/entry/inflight.go
+++ b/transport/entry/inflight.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// errOwnerLost is the cause with which requests to a lost owner are given up.
+// ownerLostError is the cause with which requests to a lost owner are given up.
 type ownerLostError struct{}
 
 func (ownerLostError) Error() string { return "the owner of the key was lost" }
--- a/transport/entry/targets.go
+++ b/transport/entry/targets.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/protocol/rules"
@@ -79,16 +80,20 @@
 	r.lastFailure = now
 }
 
-// Failing is a target that takes connections and answers nothing, as long as requests
-// still go there: after a while without any it is given another chance.
+// A target is failing when failingAfter requests in a row, over at least failingFor, got no
+// answer. After failingMemory without a request it is given another chance.
 const (
-	failingAfter    = 5
-	failingFor      = 1e9
-	failingMemory   = 10e9
-	choicesToWeigh  = 2
-	drainingPenalty = 1 << 20
+	failingAfter  = 5
+	failingFor    = time.Second
+	failingMemory = 10 * time.Second
 )
 
+// choicesToWeigh is how many targets taken at random are compared.
+const choicesToWeigh = 2
+
+// failingPenalty makes a target that failed last the last choice.
+const failingPenalty = 1 << 20
+
 // Failing returns the targets that have answered none of the last requests.
 func (t *Targets) Failing() []string {
 	t.mu.Lock()
@@ -130,7 +135,7 @@
 		return 0
 	}
 	if r.failures > 0 {
-		return r.inFlight + drainingPenalty
+		return r.inFlight + failingPenalty
 	}
 	return r.inFlight
 }
