Encrypt calls between instances when certificates are given; test an instance

Ruled out: TLS in place of the secret; without certificates the secret is all there is. Conclusion: calls to the stand-in and to targets stay in clear text.

--- a/cmd/lycheehall-standin/main.go
+++ b/cmd/lycheehall-standin/main.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	directory := standin.NewDirectory(o.lag)
-	server := rpc.NewServer(l, o.secret)
+	server := rpc.NewServer(l, o.secret, nil)
 	service := &platform.Service{Table: standin.NewTable(), Directory: directory, Announced: directory.Add}
 	if err := server.Register(platform.ServiceName, service); err != nil {
 		return err
@@ -106,7 +106,7 @@
 	target := standin.NewTarget(id, o.service, !o.unfenced)
 	target.Work = o.work
 	m := state.Member{ID: id, Kind: state.KindTarget, Service: o.service, Address: l.Addr().String(), DataCentre: o.dataCentre, Lifecycle: state.Live}
-	client := platform.NewClient(o.platform, rpc.NewPool(o.secret))
+	client := platform.NewClient(o.platform, rpc.NewPool(o.secret, nil))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go http.Serve(l, target.Handler())
--- a/cmd/lycheehalld/main.go
+++ b/cmd/lycheehalld/main.go
@@ -81,7 +81,7 @@
 }
 
 func serve(s settings.Settings) int {
-	pool := rpc.NewPool(s.Secret)
+	pool := rpc.NewPool(s.Secret, nil)
 	defer pool.Close()
 	// The level has been checked with the settings.
 	level, _ := log.ParseLevel(s.LogLevel)
--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -31,8 +31,9 @@
 	return nil
 }
 
-// startLocal runs one instance and one target in this process.
-func startLocal(b *testing.B) (entry, target string) {
+// startLocal runs one instance and one target in this process, and returns the addresses
+// for callers, of the target, and for operators.
+func startLocal(b testing.TB) (entry, target, operators string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -58,13 +59,13 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(srv.Close)
-	entry, _ = srv.Addresses()
+	entry, operators = srv.Addresses()
 	for {
 		resp, err := http.Get("http://" + entry + "/plumbers/h-1")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				return entry, l.Addr().String()
+				return entry, l.Addr().String(), operators
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -74,7 +75,7 @@
 // BenchmarkRequests compares requests through one instance with the same requests made
 // directly to the target, in one run. The direct ones ask for a path that needs no grant.
 func BenchmarkRequests(b *testing.B) {
-	entry, target := startLocal(b)
+	entry, target, _ := startLocal(b)
 	for _, way := range []struct{ name, url string }{
 		{"direct", "http://" + target + "/plumbers/h-1"},
 		{"through", "http://" + entry + "/plumbers/h-1"},
--- a/server/process_test.go
+++ b/server/process_test.go
@@ -72,7 +72,7 @@
 func childPlatform() {
 	l := listen()
 	directory := standin.NewDirectory(200 * time.Millisecond)
-	server := rpc.NewServer(l, testSecret)
+	server := rpc.NewServer(l, testSecret, nil)
 	service := &platform.Service{Table: standin.NewTable(), Directory: directory, Announced: directory.Add}
 	if err := server.Register(platform.ServiceName, service); err != nil {
 		panic(err)
@@ -92,7 +92,7 @@
 	target.Concurrency = 50
 	target.Work = 2 * time.Millisecond
 	go http.Serve(l, target.Handler())
-	client := platform.NewClient(platformAddress, rpc.NewPool(testSecret))
+	client := platform.NewClient(platformAddress, rpc.NewPool(testSecret, nil))
 	m := state.Member{ID: id, Kind: state.KindTarget, Service: "bookings", Address: l.Addr().String(), DataCentre: "dc1", Lifecycle: state.Live}
 	fmt.Println(l.Addr())
 	for {
@@ -108,7 +108,7 @@
 	s.Secret, s.OperatorToken = testSecret, testSecret
 	s.Grace = settings.Duration(100 * time.Millisecond)
 	logger, level := NewLogger(io.Discard, log.InfoLevel)
-	srv, err := New(s, platform.NewClient(platformAddress, rpc.NewPool(testSecret)), logger, level)
+	srv, err := New(s, platform.NewClient(platformAddress, rpc.NewPool(testSecret, nil)), logger, level)
 	if err != nil {
 		panic(err)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -50,6 +51,7 @@
 // Server is one instance.
 type Server struct {
 	settings  settings.Settings
+	tls       *tls.Config
 	self      message.Peer
 	platform  Platform
 	driver    *driver
@@ -97,7 +99,11 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &Server{settings: s, platform: platform, logger: logger, level: level}
+	encryption, err := rpc.LoadTLS(s.TLSCert, s.TLSKey, s.TLSCA)
+	if err != nil {
+		return nil, fmt.Errorf("server: %w", err)
+	}
+	srv := &Server{settings: s, tls: encryption, platform: platform, logger: logger, level: level}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
@@ -132,7 +138,7 @@
 		open = append(open, l)
 	}
 	s.listeners = [2]net.Listener{open[0], open[1]}
-	s.peers = rpc.NewServer(open[2], s.settings.Secret)
+	s.peers = rpc.NewServer(open[2], s.settings.Secret, s.tls)
 	// A start makes a new identity: what an earlier process promised is forgotten.
 	s.self = message.Peer{ID: s.settings.Name + "." + startID(), Address: open[2].Addr().String(), DataCentre: s.settings.DataCentre}
 	return nil
@@ -159,7 +165,7 @@
 		clock:         clock.System{},
 		table:         s.platform,
 		directory:     s.platform,
-		peers:         peer.NewClient(s.settings.Secret),
+		peers:         peer.NewClient(s.settings.Secret, s.tls),
 		grants:        target.NewClient(grantTimeout),
 		publisher:     s.publisher,
 		inflight:      inflight,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,10 @@
 	Seeds []string `toml:"seeds" comment:"Peer addresses of other instances, for a start while the platform is down."`
 	// Secret authenticates instances and the platform to one another.
 	Secret string `toml:"secret" comment:"Secret shared by all instances; at least 16 characters."`
+	// TLSCert, TLSKey and TLSCA are PEM files that encrypt calls between instances.
+	TLSCert string `toml:"tls_cert" comment:"PEM file with this instance's certificate, for its IP number; empty: calls between instances are not encrypted."`
+	TLSKey  string `toml:"tls_key" comment:"PEM file with its key."`
+	TLSCA   string `toml:"tls_ca" comment:"PEM file with the authority that issued all instances' certificates."`
 	// OperatorToken is asked of operators.
 	OperatorToken string `toml:"operator_token" comment:"Token that operators must give; at least 16 characters."`
 	// FirstRules is a file with the rules of a deployment that has none yet.
@@ -147,6 +151,9 @@
 	if len(s.OperatorToken) < MinSecret {
 		bad("operator_token", "has %d characters; give at least %d", len(s.OperatorToken), MinSecret)
 	}
+	if given := s.TLSCert != ""; given != (s.TLSKey != "") || given != (s.TLSCA != "") {
+		bad("tls_cert", "tls_cert, tls_key and tls_ca belong together; give all three or none")
+	}
 	s.validateNumbers(bad)
 	return errors.Join(errs...)
 }
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 
 	"lycheehall.example/lycheehall/coordination/authority"
@@ -42,9 +43,9 @@
 	watches *rpc.Pool
 }
 
-// NewClient returns a client without connections.
-func NewClient(secret string) *Client {
-	return &Client{calls: rpc.NewPool(secret), watches: rpc.NewPool(secret)}
+// NewClient returns a client without connections. They are encrypted if cfg is not nil.
+func NewClient(secret string, cfg *tls.Config) *Client {
+	return &Client{calls: rpc.NewPool(secret, cfg), watches: rpc.NewPool(secret, cfg)}
 }
 
 // Close closes all connections.
--- a/transport/rpc/rpc.go
+++ b/transport/rpc/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -24,8 +25,12 @@
 	closed bool
 }
 
-// NewServer returns a server on the listener. Register the receivers, then call Serve.
-func NewServer(listener net.Listener, secret string) *Server {
+// NewServer returns a server on the listener, encrypted if cfg is not nil. Register the
+// receivers, then call Serve.
+func NewServer(listener net.Listener, secret string, cfg *tls.Config) *Server {
+	if cfg != nil {
+		listener = tls.NewListener(listener, cfg)
+	}
 	return &Server{secret: secret, rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]struct{}{}}
 }
 
@@ -101,14 +106,15 @@
 // Pool keeps one connection to each address and makes calls on it.
 type Pool struct {
 	secret string
+	tls    *tls.Config
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
 }
 
-// NewPool returns a pool without connections.
-func NewPool(secret string) *Pool {
-	return &Pool{secret: secret, clients: map[string]*rpc.Client{}}
+// NewPool returns a pool without connections. They are encrypted if cfg is not nil.
+func NewPool(secret string, cfg *tls.Config) *Pool {
+	return &Pool{secret: secret, tls: cfg, clients: map[string]*rpc.Client{}}
 }
 
 // Call makes a call and waits for its answer until ctx ends. An error that the method
@@ -167,6 +173,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.tls != nil {
+		conn = p.encrypt(conn, address)
+	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	err = handshake(conn, p.secret, clientRole, serverRole)
 	if !stop() && err == nil {
@@ -179,6 +188,13 @@
 	return rpc.NewClient(conn), nil
 }
 
+// encrypt returns the connection with TLS on top; the certificate must be for the address.
+func (p *Pool) encrypt(conn net.Conn, address string) net.Conn {
+	cfg := p.tls.Clone()
+	cfg.ServerName, _, _ = net.SplitHostPort(address)
+	return tls.Client(conn, cfg)
+}
+
 func (p *Pool) drop(address string, client *rpc.Client) {
 	p.mu.Lock()
 	if p.clients[address] == client {
--- a/transport/rpc/rpc_test.go
+++ b/transport/rpc/rpc_test.go
@@ -32,7 +32,7 @@
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s := NewServer(l, secret)
+	s := NewServer(l, secret, nil)
 	Expect(s.Register("Echo", Echo{})).To(Succeed())
 	go s.Serve()
 	DeferCleanup(s.Close)
@@ -42,7 +42,7 @@
 func say(secret, address string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	pool := NewPool(secret)
+	pool := NewPool(secret, nil)
 	defer pool.Close()
 	var reply string
 	err := pool.Call(ctx, address, "Echo.Say", "hello", &reply)
@@ -79,7 +79,7 @@
 		defer l.Close()
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(10*time.Millisecond, cancel)
-		err = NewPool("secret").Call(ctx, l.Addr().String(), "Echo.Say", "x", new(string))
+		err = NewPool("secret", nil).Call(ctx, l.Addr().String(), "Echo.Say", "x", new(string))
 		Expect(err).To(MatchError(ErrUnreachable))
 	})
 })
