Match the service that the caller addresses; name types that drivers hand back

Cause: a rule could not ask for the addressed service; two types that drivers outside the package must hand back had no exported name; the benchmark of a decision left out the slot. Ruled out: a header for the service (callers may not set internal headers). Change: when.service matches the first label of the host name. Conclusion: done.

--- a/coordination/node/change.go
+++ b/coordination/node/change.go
@@ -142,7 +142,7 @@
 	n.emit(Effect{TableRead: &TableRead{ID: readHeads, Keys: headKeys}})
 }
 
-func (n *Node) loadDone(now clock.Instant, id readID, rows []state.Row, ok bool) {
+func (n *Node) loadDone(now clock.Instant, id ReadID, rows []state.Row, ok bool) {
 	if !n.leader.loading {
 		return
 	}
--- a/coordination/node/effects.go
+++ b/coordination/node/effects.go
@@ -23,31 +23,33 @@
 	AnswerPropose *AnswerPropose
 }
 
-type readID uint8
+// ReadID tells what a TableRead is for; the driver hands it back with the answer.
+type ReadID uint8
 
 const (
-	readRow readID = iota
+	readRow ReadID = iota
 	readHeads
 	readSlots
 )
 
 // TableRead asks for rows; the answer goes to TableReadDone.
 type TableRead struct {
-	ID   readID
+	ID   ReadID
 	Keys []string
 }
 
-type commitPurpose uint8
+// CommitPurpose tells what a TableCommit is for; the driver hands it back with the answer.
+type CommitPurpose uint8
 
 const (
-	commitRow commitPurpose = iota
+	commitRow CommitPurpose = iota
 	commitChange
 	commitProbe
 )
 
 // TableCommit asks for a transaction; the answer goes to TableCommitDone.
 type TableCommit struct {
-	Purpose commitPurpose
+	Purpose CommitPurpose
 	ID      uint64
 	Txn     state.Txn
 }
@@ -92,7 +94,7 @@
 }
 
 // TableReadDone takes the answer to a TableRead; ok is false when none came.
-func (n *Node) TableReadDone(now clock.Instant, id readID, rows []state.Row, ok bool) []Effect {
+func (n *Node) TableReadDone(now clock.Instant, id ReadID, rows []state.Row, ok bool) []Effect {
 	switch id {
 	case readRow:
 		n.rowRead(now, rows, ok)
@@ -113,7 +115,7 @@
 }
 
 // TableCommitDone takes the answer to a TableCommit.
-func (n *Node) TableCommitDone(now clock.Instant, purpose commitPurpose, id uint64, outcome authority.Outcome) []Effect {
+func (n *Node) TableCommitDone(now clock.Instant, purpose CommitPurpose, id uint64, outcome authority.Outcome) []Effect {
 	switch purpose {
 	case commitRow:
 		n.runMachine(now, n.machine.WriteDone(now, id, outcome))
--- a/protocol/rules/cover.go
+++ b/protocol/rules/cover.go
@@ -12,6 +12,7 @@
 		return false
 	}
 	return coversList(a.Method, b.Method) &&
+		coversList(a.Service, b.Service) &&
 		coversList(a.Host, b.Host) &&
 		coversList(a.Caller, b.Caller) &&
 		coversList(a.DataCentre, b.DataCentre) &&
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -59,6 +59,7 @@
 // condition is a When in the form that requests are matched against.
 type condition struct {
 	method     []string
+	service    []string
 	host       []string
 	caller     []string
 	dataCentre []string
@@ -176,7 +177,7 @@
 }
 
 func compileWhen(w *When) condition {
-	c := condition{method: w.Method, host: w.Host, caller: w.Caller, dataCentre: w.DataCentre}
+	c := condition{method: w.Method, service: w.Service, host: w.Host, caller: w.Caller, dataCentre: w.DataCentre}
 	if w.Path != "" {
 		// The pattern has been checked.
 		c.path, _ = parsePattern(w.Path)
@@ -238,6 +239,9 @@
 	if len(c.host) > 0 && !among(c.host, hostname(r.Host)) {
 		return false
 	}
+	if len(c.service) > 0 && !among(c.service, addressed(r.Host)) {
+		return false
+	}
 	for _, h := range c.header {
 		if !h.holds(r.Header) {
 			return false
@@ -278,6 +282,12 @@
 	return host
 }
 
+// addressed returns the service that the host name names.
+func addressed(host string) string {
+	name, _, _ := strings.Cut(hostname(host), ".")
+	return name
+}
+
 func (h headerCondition) holds(header http.Header) bool {
 	values := header[h.name]
 	if h.value == anyValue {
--- a/protocol/rules/rules_test.go
+++ b/protocol/rules/rules_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lycheehall.example/lycheehall/coordination/ownership"
 	"lycheehall.example/lycheehall/examples"
 	"lycheehall.example/lycheehall/protocol/rules"
 )
@@ -80,6 +81,10 @@
 when = { header = { "x-kind" = "*" }, path = "/h/{rest...}" }
 then = { route = "s", key = "header:x-key" }
 [[rule]]
+name = "service"
+when = { service = ["crew"], path = "/s" }
+then = { route = "u" }
+[[rule]]
 name = "query"
 when = { path = "/q" }
 then = { route = "s", key = "query:id" }
@@ -112,6 +117,12 @@
 	Entry("key from a header", func() *rules.Request { return request("GET", "/h/x/y", "X-Kind", "1", "X-Key", "k") }, "header", "k"),
 	Entry("two headers give no key", func() *rules.Request { return request("GET", "/h/x", "X-Kind", "1", "X-Key", "k", "X-Key", "l") }, "header", ""),
 	Entry("key from the query", func() *rules.Request { return request("GET", "/q?id=5") }, "query", "5"),
+	Entry("the addressed service", func() *rules.Request {
+		r := request("GET", "/s")
+		r.Host = "crew.example:80"
+		return r
+	}, "service", ""),
+	Entry("another service", func() *rules.Request { return request("GET", "/s") }, "", ""),
 	Entry("two values give no key", func() *rules.Request { return request("GET", "/q?id=5&id=6") }, "query", ""),
 	Entry("any of several", func() *rules.Request { return request("GET", "/e") }, "either", ""),
 	Entry("but not", func() *rules.Request { return request("DELETE", "/e") }, "", ""),
@@ -186,7 +197,8 @@
 	r := &rules.Request{Method: "GET", URL: &url.URL{Path: "/p/household-4711/n99"}, Header: http.Header{}, Caller: "c"}
 	b.ReportAllocs()
 	for b.Loop() {
-		if d := set.Decide(r); d.Rule == nil {
+		d := set.Decide(r)
+		if d.Rule == nil || ownership.SlotOf(d.Key, 4096) < 0 {
 			b.Fatal("no rule")
 		}
 	}
--- a/protocol/rules/types.go
+++ b/protocol/rules/types.go
@@ -71,6 +71,9 @@
 type When struct {
 	// Method lists HTTP methods, one of which must match.
 	Method []string `toml:"method"`
+	// Service lists services, one of which the caller must address: the first label of the
+	// host name, such as bookings in bookings.example.
+	Service []string `toml:"service"`
 	// Host lists host names, one of which must match; the port is ignored.
 	Host []string `toml:"host"`
 	// Path is a pattern such as /jobs/{job}/status; {rest...} matches the remainder.
