Let three relays read for all while nobody leads; tell targets by digest

Each new leader told every follower all targets again. Change: while nobody leads, three instances by rendezvous hash (seeds before any are known) read and look; the others ask them, and look for themselves when none says something current. Lists of targets are identified by a digest, so that followers of a new leader are told only changes. Tests: relays are the same for all, answer without a call to the store, stay silent when they know nothing; two of them fail when askRelay is taken out.

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -35,6 +35,8 @@
 type Config struct {
 	Self   view.Instance
 	Source Source
+	// Seeds are the addresses of instances to ask before any others are known.
+	Seeds []string
 	// HoldMax is the longest hold of a grant that targets accept.
 	HoldMax time.Duration
 	Policy  keyrange.Policy
@@ -71,6 +73,10 @@
 	fewInstances = 12
 	// longestPoll bounds the time between readings of an instance that hears nothing.
 	longestPoll = 800 * time.Millisecond
+	// longestLook bounds the time between the looks at the lease of an instance to which the
+	// store does not answer, so that it is noticed within the time after an outage in which
+	// entries of the registry come back.
+	longestLook = 2 * time.Second
 	// rulesWait is how long a feed of the configuration waits for a change. Feeds may hear
 	// nothing for a second while changes are made; the next reading shows them.
 	rulesWait = 600 * time.Millisecond
@@ -112,12 +118,16 @@
 	leaving  bool
 	storeOK  bool
 	lastSync clock.Instant
-	// knownTargets is the version of the leading instance's targets that was adopted last;
-	// 0: the next answer should hold them all.
-	knownTargets uint64
-	// leaderTargets is the list of that version.
-	leaderTargets map[string]view.Target
-	// told is what this instance has told others while it leads.
+	// lost is the holder that was found not to lead any more.
+	lost string
+	// leaderKnown is closed when the next leader is found.
+	leaderKnown chan struct{}
+	// lookedAt is when the lease's row was last read here.
+	lookedAt clock.Instant
+	started  clock.Instant
+	// silent says when relays last failed to answer.
+	silent map[string]clock.Instant
+	// told is what this instance has told others, or been told.
 	told told
 }
 
@@ -128,6 +138,8 @@
 		collector: collector, total: demand.NewTotal(), log: log,
 		reader: newReader(c, s, config.Source, board, log),
 		wake:   make(chan struct{}, 1), lastSync: clock.Never, storeOK: true,
+		leaderKnown: make(chan struct{}), lookedAt: clock.Never, started: c.Now(),
+		silent: map[string]clock.Instant{},
 	}
 }
 
@@ -174,12 +186,18 @@
 	}
 }
 
-// reads reports whether this instance has to read the store itself.
+// reads reports whether this instance has to read the store itself. While nobody leads
+// relays do so for all. Another one whose knowledge is old reads too, but only when the
+// store has answered the look at the lease: each refused call of 90 instances is paid for.
 func (c *Coordinator) reads() bool {
+	relay := c.isRelay()
+	now := c.clock.Now()
 	c.mu.Lock()
-	leading := c.term != nil
-	c.mu.Unlock()
-	return leading || c.clock.Now().Sub(c.board.KnownAt()) > staleAfter
+	defer c.mu.Unlock()
+	if c.term != nil || relay && c.lastSync == clock.Never {
+		return true
+	}
+	return c.storeOK && c.lookedAt != clock.Never && now.Sub(c.board.KnownAt()) > staleAfter
 }
 
 // readRules keeps the configuration current while that is this instance's business.
@@ -212,9 +230,6 @@
 		err := c.reader.readTargets(callCtx)
 		cancel()
 		c.noteStore(err)
-		c.mu.Lock()
-		c.knownTargets = 0
-		c.mu.Unlock()
 		sleep(ctx, pause.after(err, c.pollPause()))
 	}
 }
@@ -224,6 +239,14 @@
 	return pause * time.Duration(max(fewInstances, len(c.board.Load().Instances))) / fewInstances
 }
 
+// spared stretches the pause after a failed call of an instance that is no relay.
+func (c *Coordinator) spared(pause time.Duration, err error) time.Duration {
+	if err == nil || c.isRelay() {
+		return pause
+	}
+	return min(longestLook, c.shared(pause))
+}
+
 // pollPause is the time until the next reading of the registry.
 func (c *Coordinator) pollPause() time.Duration {
 	c.mu.Lock()
@@ -276,30 +299,28 @@
 		if address != "" && address != c.config.Self.Address && c.report(ctx, address, leaving) {
 			continue
 		}
+		if c.askRelay(ctx) {
+			continue
+		}
 		t, err := c.lookAtLease(ctx, !leaving)
 		if t == nil {
 			look := c.shared(leaseLookEvery)
-			sleep(ctx, pause.after(err, look/2+rand.N(look/2)))
+			sleep(ctx, c.spared(pause.after(err, look/2+rand.N(look/2)), err))
 			continue
 		}
 		t.run(ctx)
 		c.mu.Lock()
 		c.term = nil
 		c.leader = lease.Row{}
+		c.lost = c.config.Self.ID
 		c.mu.Unlock()
 	}
 }
 
 // report makes one report, and reports whether the other instance leads.
 func (c *Coordinator) report(ctx context.Context, address string, leaving bool) bool {
-	snapshot := c.board.Load()
-	args := &peerapi.SyncArgs{
-		Self: c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsVersion: c.targetsKnown(),
-		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold, Leaving: leaving,
-	}
-	for service, m := range snapshot.Maps {
-		args.MapVersions[service] = m.Version
-	}
+	args := c.question()
+	args.Leaving = leaving
 	args.Work, args.Pace = c.collector.Drain()
 	begun := c.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
@@ -309,24 +330,53 @@
 		c.noteLeaderLost(address, err)
 		return false
 	}
-	c.adopt(begun, reply)
-	if c.targetsKnown() == 0 {
+	c.followed()
+	if !c.adopt(begun, reply) {
 		// The leading instance has not read yet what is known here; it will, within pollEvery.
 		sleep(ctx, pollEvery/4)
 	}
 	return true
 }
 
-func (c *Coordinator) targetsKnown() uint64 {
+// question asks for what is newer than what is known here.
+func (c *Coordinator) question() *peerapi.SyncArgs {
+	snapshot := c.board.Load()
+	args := &peerapi.SyncArgs{
+		Self: c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
+		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
+	}
+	for service, m := range snapshot.Maps {
+		args.MapVersions[service] = m.Version
+	}
+	return args
+}
+
+// followed notes that the leading instance answered.
+func (c *Coordinator) followed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.knownTargets
+	if c.lastSync == clock.Never {
+		c.log("leader-followed", "leader", c.leader.Holder, "term", c.leader.Term)
+	}
+	c.lastSync = c.clock.Now()
+	c.lost = ""
+}
+
+// setLeader notes who holds the lease; the zero row: nobody that is known. The caller holds
+// the lock.
+func (c *Coordinator) setLeader(row lease.Row) {
+	c.leader = row
+	if tells(row, c.lost) {
+		close(c.leaderKnown)
+		c.leaderKnown = make(chan struct{})
+	}
 }
 
 func (c *Coordinator) noteLeaderLost(address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.knownTargets = 0
+	c.lost = c.leader.Holder
+	c.leader = lease.Row{}
 	if c.lastSync == clock.Never {
 		return
 	}
@@ -338,33 +388,27 @@
 	c.log("leader-lost", "address", address, "reason", reason, "lease", c.observer.Version())
 }
 
-// adopt takes over what the leading instance told.
-func (c *Coordinator) adopt(begun clock.Instant, reply *peerapi.SyncReply) {
+// adopt takes over what another instance told. It reports whether that was as new as what is
+// known here.
+func (c *Coordinator) adopt(begun clock.Instant, reply *peerapi.SyncReply) bool {
 	now := c.clock.Now()
 	c.mu.Lock()
 	c.observer.Saw(reply.Lease, false, now)
-	first := c.lastSync == clock.Never
-	c.lastSync = now
-	if first {
-		c.log("leader-followed", "leader", c.leader.Holder, "term", c.leader.Term)
-	}
 	c.mu.Unlock()
 	// What was confirmed had been read Age before the answer left. The way back may have
 	// taken all of the time that was not spent waiting.
 	travel := max(0, now.Sub(begun)-reply.Held)
 	at := now.Add(-reply.Age - travel)
 	c.adoptRules(reply, at)
-	if reply.TargetsVersion != c.targetsKnown() {
-		c.adoptTargets(reply, at)
-	} else {
-		c.board.ConfirmTargets(at)
-	}
+	taken := c.adoptTargets(reply, at)
 	for service, news := range reply.Maps {
 		c.adoptMap(service, news)
 	}
 	if reply.Instances != nil {
 		c.board.SetInstances(reply.InstancesVersion, reply.Instances)
 	}
+	c.told.remember(c.board.Load())
+	return taken
 }
 
 func (c *Coordinator) adoptRules(reply *peerapi.SyncReply, at clock.Instant) {
--- a/coordination/lead/lead_test.go
+++ b/coordination/lead/lead_test.go
@@ -37,7 +37,7 @@
 func tell(leader, follower *Coordinator) *peerapi.SyncReply {
 	s := follower.board.Load()
 	args := &peerapi.SyncArgs{
-		RulesVersion: s.RulesVersion, TargetsVersion: follower.targetsKnown(), InstancesVersion: s.InstancesVersion, MapVersions: map[string]uint64{},
+		RulesVersion: s.RulesVersion, TargetsDigest: s.TargetsDigest, InstancesVersion: s.InstancesVersion, MapVersions: map[string]uint64{},
 	}
 	for service, m := range s.Maps {
 		args.MapVersions[service] = m.Version
--- /dev/null
+++ b/coordination/lead/relay.go
@@ -0,0 +1,225 @@
+package lead
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/lease"
+	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/peerapi"
+)
+
+// While nobody leads, a few instances, the relays, read the store and look at the lease, and
+// the others ask them. With 87 instances that each read by themselves a leader that was lost
+// or a store that was away cost up to 250 calls a second, each of which is paid for.
+//
+// Relays decide nothing: what they tell carries its age, and an instance to which none of
+// them answers with something current looks for itself.
+const (
+	// relayCount is the number of relays. With three, one that is cut off or was killed with
+	// the leader leaves two.
+	relayCount = 3
+	// relayDuty names the duty in the ranking of instances.
+	relayDuty = "relay"
+	// relayCurrent is the age of a relay's knowledge of the lease from which on it says
+	// nothing: it may be cut off itself.
+	relayCurrent = time.Second
+	// settledAfter is how long a relay must have run before it tells others that targets are
+	// gone: it may have started while the registry lacked some that live.
+	settledAfter = 2500 * time.Millisecond
+	// silentFor is how long a relay that did not answer is not asked again.
+	silentFor = 2 * time.Second
+	// relayTries bounds the relays asked in a row before an instance looks for itself.
+	relayTries = 2
+	// startWait is how long an instance that has just started waits for the seeds to answer:
+	// they may be starting at the same moment.
+	startWait = 600 * time.Millisecond
+	// startPause is the time between its questions.
+	startPause = 100 * time.Millisecond
+)
+
+// relays returns the addresses of the instances that read for all while nobody leads, this
+// one among them if it is one. They are the same for all who know the same instances.
+func (c *Coordinator) relays() []string {
+	list := c.board.Load().Instances
+	if len(list) == 0 {
+		return c.config.Seeds
+	}
+	c.mu.Lock()
+	lost := c.lost
+	c.mu.Unlock()
+	return rankRelays(list, lost)
+}
+
+func rankRelays(list []view.Instance, lost string) []string {
+	type ranked struct {
+		address string
+		score   float64
+	}
+	var ranking []ranked
+	for _, i := range list {
+		if i.ID != lost {
+			ranking = append(ranking, ranked{i.Address, i.Score(relayDuty)})
+		}
+	}
+	slices.SortFunc(ranking, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	var addresses []string
+	for _, r := range ranking[:min(relayCount, len(ranking))] {
+		addresses = append(addresses, r.address)
+	}
+	return addresses
+}
+
+// isRelay reports whether this instance reads for others while nobody leads. One that knows
+// of no others does.
+func (c *Coordinator) isRelay() bool {
+	relays := c.relays()
+	return len(relays) == 0 || slices.Contains(relays, c.config.Self.Address)
+}
+
+// askRelay asks relays who leads and what is new. It reports whether one answered with
+// something current; otherwise this instance must look for itself.
+func (c *Coordinator) askRelay(ctx context.Context) bool {
+	relays := c.relays()
+	if len(relays) == 0 || slices.Contains(relays, c.config.Self.Address) {
+		return false
+	}
+	first := int(xxhash.Sum64String(c.config.Self.ID) % uint64(len(relays)))
+	tries := 0
+	for i := range relays {
+		address := relays[(first+i)%len(relays)]
+		if tries == relayTries || !c.mayAnswer(address) {
+			continue
+		}
+		tries++
+		if c.ask(ctx, address) {
+			return true
+		}
+	}
+	if c.board.KnownAt() == clock.Never && c.clock.Now().Sub(c.started) < startWait {
+		sleep(ctx, startPause)
+		return true
+	}
+	return false
+}
+
+// mayAnswer reports whether a relay should be asked.
+func (c *Coordinator) mayAnswer(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, silent := c.silent[address]
+	return !silent || c.clock.Now().Sub(at) >= silentFor
+}
+
+// ask asks one relay.
+func (c *Coordinator) ask(ctx context.Context, address string) bool {
+	args := c.question()
+	c.mu.Lock()
+	args.Lost = c.lost
+	c.mu.Unlock()
+	begun := c.clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	reply, err := c.peers.Sync(callCtx, address, args)
+	cancel()
+	if err != nil {
+		c.noteSilent(address, err)
+		return false
+	}
+	if !reply.Leading && !reply.Current {
+		return false
+	}
+	taken := c.adopt(begun, reply)
+	c.mu.Lock()
+	c.setLeader(reply.Leader)
+	c.mu.Unlock()
+	if !taken {
+		sleep(ctx, pollEvery/4)
+	}
+	return true
+}
+
+// noteSilent notes that a relay did not answer. During the start the seeds may not listen
+// yet, and are asked again soon.
+func (c *Coordinator) noteSilent(address string, err error) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.started) < startWait {
+		return
+	}
+	c.silent[address] = now
+	c.log("relay-silent", "address", address, "error", err.Error())
+}
+
+// relay answers a question while this instance does not lead. It waits until there is
+// something new: a leader other than the lost one, or anything that the sender lacks.
+func (c *Coordinator) relay(ctx context.Context, args *peerapi.SyncArgs) *peerapi.SyncReply {
+	begun := c.clock.Now()
+	if !c.current(args) {
+		return &peerapi.SyncReply{}
+	}
+	c.awaitLeader(ctx, args)
+	if !c.current(args) {
+		return &peerapi.SyncReply{}
+	}
+	reply := c.news(args, c.board.Load())
+	now := c.clock.Now()
+	reply.Held = now.Sub(begun)
+	reply.Age = now.Sub(c.board.KnownAt())
+	reply.Current = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Lease = c.observer.Version()
+	reply.Leader = c.leader
+	return reply
+}
+
+// current reports whether this instance may speak as a relay to the sender of a question.
+func (c *Coordinator) current(args *peerapi.SyncArgs) bool {
+	now := c.clock.Now()
+	if c.board.KnownAt() == clock.Never {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving || args.TargetsDigest != 0 && now.Sub(c.started) < settledAfter {
+		return false
+	}
+	follows := c.lastSync != clock.Never && now.Sub(c.lastSync) < relayCurrent
+	looked := c.lookedAt != clock.Never && now.Sub(c.lookedAt) < relayCurrent
+	return follows || looked
+}
+
+// awaitLeader waits until there is something to tell the sender of a question, or its time
+// is over.
+func (c *Coordinator) awaitLeader(ctx context.Context, args *peerapi.SyncArgs) {
+	timer := time.NewTimer(min(args.Wait, syncHold))
+	defer timer.Stop()
+	for {
+		snapshot := c.board.Load()
+		c.mu.Lock()
+		leader, known := c.leader, c.leaderKnown
+		c.mu.Unlock()
+		if newer(args, snapshot) || tells(leader, args.Lost) {
+			return
+		}
+		select {
+		case <-snapshot.Changed:
+		case <-known:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tells reports whether a holder of the lease is news to an instance that lost one.
+func tells(leader lease.Row, lost string) bool {
+	return leader.Address != "" && leader.Holder != lost
+}
--- /dev/null
+++ b/coordination/lead/relay_test.go
@@ -0,0 +1,162 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/demand"
+	"lycheehall.example/lycheehall/coordination/lease"
+	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/peerapi"
+	"lycheehall.example/lycheehall/state/store"
+)
+
+// directory carries calls between coordinators of one process, by address.
+type directory map[string]*Coordinator
+
+func (d directory) Sync(ctx context.Context, address string, args *peerapi.SyncArgs) (*peerapi.SyncReply, error) {
+	c := d[address]
+	if c == nil {
+		return nil, errors.New("nobody listens")
+	}
+	return c.Sync(ctx, args), nil
+}
+
+// darkStore counts the calls that it refuses.
+type darkStore struct{ calls atomic.Int64 }
+
+func (s *darkStore) Commit(context.Context, store.Txn) (uint64, error) {
+	s.calls.Add(1)
+	return 0, store.ErrNotDone
+}
+
+func (s *darkStore) Scan(context.Context, string, string) ([]store.Row, uint64, error) {
+	s.calls.Add(1)
+	return nil, 0, store.ErrNotDone
+}
+
+func (s *darkStore) Feed(context.Context, string, uint64, time.Duration) ([]store.Row, uint64, error) {
+	s.calls.Add(1)
+	return nil, 0, store.ErrNotDone
+}
+
+// fleet makes coordinators that know one another and some targets.
+func fleet(count int) (list []view.Instance, all directory, s *darkStore) {
+	s = &darkStore{}
+	all = directory{}
+	for i := range count {
+		list = append(list, view.Instance{ID: fmt.Sprintf("i%02d.1", i), Address: fmt.Sprintf("a%02d", i), Weight: 1})
+	}
+	now := clock.System{}.Now()
+	for _, self := range list {
+		board := view.NewBoard(clock.System{})
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, list)
+		board.SetTargets(5, targets("x", "y"), now)
+		board.ConfirmRules(now)
+		c := New(Config{Self: self}, clock.System{}, s, board, all, nil, demand.NewCollector(), quiet)
+		c.started = now.Add(-time.Minute)
+		all[self.Address] = c
+	}
+	return list, all, s
+}
+
+var _ = Describe("relays", func() {
+	It("are the same few for all, without the leader that was lost", func() {
+		list, _, _ := fleet(20)
+		relays := rankRelays(list, "")
+		Expect(relays).To(HaveLen(relayCount))
+		var first view.Instance
+		for _, i := range list {
+			if i.Address == relays[0] {
+				first = i
+			}
+		}
+		after := rankRelays(list, first.ID)
+		Expect(after).To(HaveLen(relayCount))
+		Expect(after[:relayCount-1]).To(Equal(relays[1:]))
+	})
+
+	It("are the seeds while nobody else is known", func() {
+		c := New(Config{Self: view.Instance{Address: "a"}, Seeds: []string{"b", "c"}}, clock.System{}, nil, view.NewBoard(clock.System{}), nil, nil, nil, quiet)
+		Expect(c.isRelay()).To(BeFalse())
+		c.config.Self.Address = "c"
+		Expect(c.isRelay()).To(BeTrue())
+	})
+
+	// Symptom: 250 calls a second to the store while nobody leads.
+	// Sequence: the leader is lost, and each of 20 instances looks at the lease and reads the
+	// tables by itself. Cause: none of them asked another.
+	It("tell the others who leads, without a call to the store", func() {
+		list, all, s := fleet(20)
+		relays := rankRelays(list, "")
+		leader := list[0]
+		for _, address := range relays {
+			c := all[address]
+			c.lookedAt = c.clock.Now()
+			c.lost = "somebody"
+			c.setLeader(lease.Row{Holder: leader.ID, Address: leader.Address, Term: 2})
+		}
+		asked := 0
+		for _, c := range all {
+			if c.isRelay() {
+				continue
+			}
+			asked++
+			Expect(c.askRelay(context.Background())).To(BeTrue())
+			Expect(c.Leader().Holder).To(Equal(leader.ID))
+		}
+		Expect(asked).To(Equal(len(list) - relayCount))
+		Expect(s.calls.Load()).To(BeZero())
+	})
+
+	It("say nothing when they have not heard of the lease lately", func() {
+		list, all, _ := fleet(20)
+		for _, c := range all {
+			if !c.isRelay() {
+				Expect(c.askRelay(context.Background())).To(BeFalse())
+				break
+			}
+		}
+		Expect(all[list[0].Address].Leader().Address).To(BeEmpty())
+	})
+
+	// Symptom: instances go on asking a leader that is gone, and never hear of the next one.
+	// Cause: the relay had not noticed yet either, and named the one that was lost.
+	It("wait for a leader other than the lost one", func() {
+		list, all, _ := fleet(20)
+		relay := all[rankRelays(list, "")[0]]
+		relay.lookedAt = relay.clock.Now()
+		relay.setLeader(lease.Row{Holder: "gone", Address: "nowhere"})
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			relay.mu.Lock()
+			defer relay.mu.Unlock()
+			relay.lost = "gone"
+			relay.setLeader(lease.Row{Holder: "next", Address: "a00"})
+		}()
+		args := relay.question()
+		args.Lost = "gone"
+		args.Wait = 10 * time.Second
+		reply := relay.Sync(context.Background(), args)
+		Expect(reply.Current).To(BeTrue())
+		Expect(reply.Leader.Holder).To(Equal("next"))
+	})
+
+	// Symptom: targets that live get nothing. Sequence: the registry lacks them while the store
+	// comes back; an instance that has just started reads it and is asked by others.
+	It("tell nobody that targets are gone right after their own start", func() {
+		list, all, _ := fleet(20)
+		relay := all[rankRelays(list, "")[0]]
+		relay.lookedAt = relay.clock.Now()
+		relay.started = relay.clock.Now()
+		Expect(relay.Sync(context.Background(), &peerapi.SyncArgs{TargetsDigest: 7}).Current).To(BeFalse())
+		Expect(relay.Sync(context.Background(), &peerapi.SyncArgs{}).Current).To(BeTrue())
+	})
+})
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -23,7 +23,7 @@
 	t := c.term
 	c.mu.Unlock()
 	if t == nil {
-		return &peerapi.SyncReply{}
+		return c.relay(ctx, args)
 	}
 	t.heard(args.Self, args.Leaving)
 	c.total.Add(args.Work, args.Pace)
@@ -37,6 +37,7 @@
 	c.mu.Lock()
 	reply.Lease = c.observer.Version()
 	reply.Leading = c.term == t
+	reply.Leader = c.leader
 	c.mu.Unlock()
 	return reply
 }
@@ -65,7 +66,7 @@
 
 // newer reports whether a snapshot has what the sender of a report lacks.
 func newer(args *peerapi.SyncArgs, s *view.Snapshot) bool {
-	if s.Rules != nil && s.RulesVersion > args.RulesVersion || s.TargetsVersion != args.TargetsVersion || s.InstancesVersion != args.InstancesVersion {
+	if s.Rules != nil && s.RulesVersion > args.RulesVersion || s.TargetsDigest != args.TargetsDigest || s.InstancesVersion.Compare(args.InstancesVersion) > 0 {
 		return true
 	}
 	for service, m := range s.Maps {
@@ -78,13 +79,13 @@
 
 // news returns what the snapshot has that the sender of a report lacks.
 func (c *Coordinator) news(args *peerapi.SyncArgs, s *view.Snapshot) *peerapi.SyncReply {
-	reply := &peerapi.SyncReply{RulesVersion: s.RulesVersion, TargetsVersion: s.TargetsVersion, TargetsRead: c.board.TargetsRead()}
+	reply := &peerapi.SyncReply{RulesVersion: s.RulesVersion, TargetsDigest: s.TargetsDigest, TargetsRead: c.board.TargetsRead()}
 	if s.Rules != nil && s.RulesVersion > args.RulesVersion {
 		reply.RulesText = s.RulesText
 	}
 	c.told.remember(s)
-	if s.TargetsVersion != args.TargetsVersion {
-		c.told.targets(reply, args.TargetsVersion, s)
+	if s.TargetsDigest != args.TargetsDigest {
+		c.told.targets(reply, args.TargetsDigest, s)
 	}
 	for service, m := range s.Maps {
 		if m.Version > args.MapVersions[service] {
@@ -94,21 +95,27 @@
 			reply.Maps[service] = c.told.mapNews(service, args.MapVersions[service], m)
 		}
 	}
-	if s.InstancesVersion != args.InstancesVersion {
+	if s.InstancesVersion.Compare(args.InstancesVersion) > 0 {
 		reply.InstancesVersion = s.InstancesVersion
 		reply.Instances = s.Instances
 	}
 	return reply
 }
 
-// adoptTargets takes over the leading instance's targets. While it has read less than this
-// instance they are not taken, and told as a whole the next time.
-func (c *Coordinator) adoptTargets(reply *peerapi.SyncReply, at clock.Instant) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// adoptTargets takes over the targets that another instance believes. It reports whether they
+// were taken: not from one that has read less than this instance.
+func (c *Coordinator) adoptTargets(reply *peerapi.SyncReply, at clock.Instant) bool {
+	snapshot := c.board.Load()
+	if reply.TargetsDigest == snapshot.TargetsDigest {
+		c.board.ConfirmTargets(at)
+		return true
+	}
 	list := map[string]view.Target{}
 	if !reply.TargetsWhole {
-		maps.Copy(list, c.leaderTargets)
+		if reply.TargetsFrom != snapshot.TargetsDigest {
+			return false
+		}
+		maps.Copy(list, snapshot.Targets)
 	}
 	for _, t := range reply.Targets {
 		list[t.ID] = t
@@ -116,11 +123,7 @@
 	for _, id := range reply.TargetsGone {
 		delete(list, id)
 	}
-	c.leaderTargets = list
-	c.knownTargets = 0
-	if c.board.AdoptTargets(reply.TargetsRead, list, at) {
-		c.knownTargets = reply.TargetsVersion
-	}
+	return c.board.AdoptTargets(reply.TargetsRead, list, at)
 }
 
 // adoptMap takes over a map of the leading instance's. One that cannot be made out of the
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -67,12 +67,14 @@
 	}
 	c.mu.Lock()
 	c.observer.Saw(s.leaseVersion, s.lease.Vacant, c.clock.Now())
+	c.lookedAt = begun
 	free := c.observer.MayTake(begun)
 	// A write of ours whose answer was lost may have taken effect after all.
 	ours := s.lease.Holder == c.config.Self.ID
-	c.leader = lease.Row{}
 	if !free && !ours {
-		c.leader = s.lease
+		c.setLeader(s.lease)
+	} else {
+		c.setLeader(lease.Row{})
 	}
 	c.mu.Unlock()
 	if !wanted || !free && !ours {
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -71,7 +71,8 @@
 	t.members[c.config.Self.ID] = &member{Instance: c.config.Self, heardAt: now}
 	c.mu.Lock()
 	c.term = t
-	c.leader = s.lease
+	c.lost = ""
+	c.setLeader(s.lease)
 	c.observer.Saw(s.leaseVersion, false, now)
 	c.mu.Unlock()
 	c.log("lease-taken", "term", s.lease.Term, "lease", s.leaseVersion)
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -12,7 +12,8 @@
 // reports several times a second; one that is further behind is told the whole.
 const toldVersions = 64
 
-// told remembers what followers have been told, so that they are told only what changed.
+// told remembers what was believed, so that others are told only what has changed since. A
+// follower remembers too: when it comes to lead, the others know what it knew.
 // Telling 90 instances each map and list of 450 targets as a whole took 0.33 GB between data
 // centres in half a minute. Its lock is a leaf.
 type told struct {
@@ -23,8 +24,8 @@
 }
 
 type toldTargets struct {
-	version uint64
-	list    map[string]view.Target
+	digest uint64
+	list   map[string]view.Target
 }
 
 type diffKey struct {
@@ -36,8 +37,8 @@
 func (t *told) remember(s *view.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n := len(t.lists); n == 0 || t.lists[n-1].version != s.TargetsVersion {
-		t.lists = append(t.lists, toldTargets{s.TargetsVersion, s.Targets})
+	if n := len(t.lists); n == 0 || t.lists[n-1].digest != s.TargetsDigest {
+		t.lists = append(t.lists, toldTargets{s.TargetsDigest, s.Targets})
 		t.lists = t.lists[max(0, len(t.lists)-toldVersions):]
 	}
 	if t.maps == nil {
@@ -52,17 +53,18 @@
 	}
 }
 
-// targets puts into a reply what has changed since a version of the targets.
+// targets puts into a reply what has changed since the targets with a digest.
 func (t *told) targets(reply *peerapi.SyncReply, since uint64, s *view.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var before map[string]view.Target
 	for _, l := range t.lists {
-		// Version 0 is that of a follower which knows none.
-		if l.version == since && since != 0 {
+		// 0 is the digest of a follower which knows none.
+		if l.digest == since && since != 0 {
 			before = l.list
 		}
 	}
+	reply.TargetsFrom = since
 	reply.TargetsWhole = before == nil
 	for id, target := range s.Targets {
 		if old, known := before[id]; !known || old != target {
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -2,28 +2,20 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/protocol/rules"
 )
 
-// Instance is one of lycheehall's own processes.
-type Instance struct {
-	// ID is unique to one start of the process.
-	ID string
-	// Address is where the other instances reach it.
-	Address    string
-	DataCentre string
-	// Weight is its share of work for the others: the processor it has.
-	Weight float64
-}
-
 // Snapshot is a consistent set of beliefs.
 type Snapshot struct {
 	// Rules are nil until the first configuration is known.
@@ -35,8 +27,10 @@
 	Targets map[string]Target
 	// ByService lists the targets of each service, sorted by id.
 	ByService map[string][]Target
-	// TargetsVersion is the version of the store as of which the targets last changed.
-	TargetsVersion uint64
+	// TargetsDigest identifies the targets, apart from what changes with each heartbeat;
+	// 0: there are none. Instances that believe the same have the same one, whoever told
+	// them.
+	TargetsDigest uint64
 
 	Maps map[string]*keyrange.Map
 
@@ -55,7 +49,8 @@
 	Count uint64
 }
 
-func (v InstancesVersion) compare(w InstancesVersion) int {
+// Compare returns -1, 0 or 1 as v is before, the same as or after w.
+func (v InstancesVersion) Compare(w InstancesVersion) int {
 	return cmp.Or(cmp.Compare(v.Term, w.Term), cmp.Compare(v.Count, w.Count))
 }
 
@@ -143,7 +138,7 @@
 	}
 	b.targetsRead = version
 	b.readAt(at)
-	return b.replaceTargets(b.believe(b.current.Load().Targets, list), version)
+	return b.replaceTargets(b.believe(b.current.Load().Targets, list))
 }
 
 // AdoptTargets adopts what the leading instance believes, as of the version of the store that
@@ -158,12 +153,12 @@
 	}
 	b.targetsRead = version
 	b.readAt(at)
-	b.replaceTargets(b.sinceWhen(b.current.Load().Targets, list), version)
+	b.replaceTargets(b.sinceWhen(b.current.Load().Targets, list))
 	return true
 }
 
 // replaceTargets publishes believed targets if they have changed. The caller holds the lock.
-func (b *Board) replaceTargets(believed map[string]Target, version uint64) (gone, added []string) {
+func (b *Board) replaceTargets(believed map[string]Target) (gone, added []string) {
 	old := b.current.Load()
 	for id := range old.Targets {
 		if _, kept := believed[id]; !kept {
@@ -179,7 +174,7 @@
 		return nil, nil
 	}
 	b.replace(func(s *Snapshot) {
-		s.TargetsVersion = version
+		s.TargetsDigest = digest(believed)
 		s.Targets = believed
 		s.ByService = byService(believed)
 	})
@@ -257,6 +252,15 @@
 	})
 }
 
+// digest combines what sameTargets compares of each target.
+func digest(targets map[string]Target) uint64 {
+	sum := uint64(0)
+	for _, t := range targets {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s|%s|%s|%s|%d|%t", t.ID, t.Service, t.Address, t.DataCentre, t.Slots, t.Draining))
+	}
+	return sum
+}
+
 func byService(targets map[string]Target) map[string][]Target {
 	out := map[string][]Target{}
 	for _, t := range targets {
@@ -286,7 +290,7 @@
 func (b *Board) SetInstances(version InstancesVersion, list []Instance) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.current.Load().InstancesVersion.compare(version) >= 0 {
+	if b.current.Load().InstancesVersion.Compare(version) >= 0 {
 		return false
 	}
 	b.replace(func(s *Snapshot) {
--- a/instance/broker.go
+++ b/instance/broker.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/view"
@@ -103,7 +101,7 @@
 	home := s.Targets[target].DataCentre
 	best, bestScore, bestHome := b.self, math.Inf(-1), false
 	for _, i := range s.Instances {
-		score := rendezvous(i, service+"/"+target)
+		score := i.Score(service + "/" + target)
 		atHome := home != "" && i.DataCentre == home
 		if atHome != bestHome && !atHome || atHome == bestHome && score <= bestScore {
 			continue
@@ -113,14 +111,6 @@
 	return best
 }
 
-// rendezvous is an instance's score for a pool, such that each wins in proportion to its
-// weight.
-func rendezvous(i view.Instance, pool string) float64 {
-	const scale = 1 << 53
-	u := (float64(xxhash.Sum64String(i.ID+"|"+pool)>>11) + 0.5) / scale
-	return -max(i.Weight, 0.01) / math.Log(u)
-}
-
 // Acquire asks the keeper for a permit.
 func (b *broker) Acquire(ctx context.Context, ask permit.Ask) (permit.Permit, error) {
 	if len(b.board.Load().Instances) == 0 {
--- a/instance/operate.go
+++ b/instance/operate.go
@@ -31,7 +31,7 @@
 		return false, "this instance is shutting down"
 	case s.Rules == nil:
 		return false, "no rules are known yet"
-	case s.TargetsVersion == 0:
+	case s.TargetsDigest == 0:
 		return false, "the registry has not been read yet"
 	}
 	return true, ""
--- a/instance/reload.go
+++ b/instance/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -69,7 +70,7 @@
 		return
 	}
 	r.lastErr = ""
-	if next == r.current {
+	if reflect.DeepEqual(next, r.current) {
 		if signalled {
 			i.log.Event("reload", "changed", false)
 		}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/timeline"
@@ -32,13 +33,15 @@
 type SyncArgs struct {
 	Self             view.Instance
 	RulesVersion     uint64
-	TargetsVersion   uint64
+	TargetsDigest    uint64
 	MapVersions      map[string]uint64
 	InstancesVersion view.InstancesVersion
 	// Wait is how long the answer may be held until there is something newer.
 	Wait time.Duration
 	Work []Work
 	Pace []Pace
+	// Lost is the holder of the lease that the sender found not to lead any more.
+	Lost string
 	// Leaving says that the sender shuts down and takes no duties.
 	Leaving bool
 	// Lamport is the sender's time of the time line.
@@ -49,6 +52,10 @@
 type SyncReply struct {
 	// Leading is false when the answering instance does not lead.
 	Leading bool
+	// Current says that one that does not lead has read the lease's row lately, and that the
+	// rest of the answer holds; Leader is then the holder that it follows, if any.
+	Current bool
+	Leader  lease.Row
 	// Lease is the version of the lease's row.
 	Lease uint64
 	// Held is how long the answer was held back.
@@ -58,11 +65,14 @@
 
 	RulesVersion uint64
 	RulesText    []byte
-	// TargetsVersion says when the targets last changed, TargetsRead when they were read.
-	TargetsVersion uint64
-	TargetsRead    uint64
-	// Targets are given when TargetsVersion is not the one in the report: those that are new
-	// or changed, and the ids of those that are gone. TargetsWhole says that they are all.
+	// TargetsDigest identifies the targets, TargetsRead is the version of the store as of
+	// which they were read.
+	TargetsDigest uint64
+	TargetsRead   uint64
+	// Targets are given when TargetsDigest is not the one in the report: those that are new
+	// or changed since TargetsFrom, and the ids of those that are gone. TargetsWhole says that
+	// they are all.
+	TargetsFrom  uint64
 	Targets      []view.Target
 	TargetsGone  []string
 	TargetsWhole bool
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,8 @@
 	Readiness string `toml:"readiness" comment:"Address for the balancer's health checks, as IP:port."`
 	// Peer is the address for other instances; they must be able to reach it.
 	Peer string `toml:"peer" comment:"Address for other instances, as IP:port that they can reach."`
+	// Seeds are the peer addresses of other instances.
+	Seeds []string `toml:"seeds" comment:"Peer addresses of a few instances that are asked at the start, as IP:port; none: the store is read instead."`
 	// Admin is the address for operators and metrics.
 	Admin string `toml:"admin" comment:"Address for operators and metrics, as IP:port."`
 	// Platform is the address of the platform's store.
@@ -77,6 +79,7 @@
 		Name: "instance", DataCentre: "dc1", Weight: 1,
 		Listen: "127.0.0.1:8080", Readiness: "127.0.0.1:8083", Peer: "127.0.0.1:8081", Admin: "127.0.0.1:8082",
 		Platform: "127.0.0.1:8090",
+		Seeds:    []string{},
 		Grace:    Duration(6 * time.Second), HoldMax: Duration(10 * time.Second),
 		MaxBody: 64 << 20,
 		Rules:   RulesOwn,
@@ -146,6 +149,11 @@
 			bad(a.field, "%v", err)
 		}
 	}
+	for _, seed := range s.Seeds {
+		if err := checkAddress(seed); err != nil {
+			bad("seeds", "%v", err)
+		}
+	}
 	if time.Duration(s.Grace) < time.Second {
 		bad("grace", "is %v; write at least 1s", time.Duration(s.Grace))
 	}
