Carry the grants to a target on few connections

Cause: every range of a target was renewed on a connection of its own, of which two were kept. Ruled out: callers' connections (bounded by each instance's part). Change: four grants at a time to a target, over kept connections; the others wait.

--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -28,11 +28,20 @@
 	// grantTimeout bounds grants. A target answers within a network delay; one that does
 	// not within this is taken to have failed once.
 	grantTimeout = 700 * time.Millisecond
+	// turnTimeout bounds the wait for earlier grants to the same target: one that hangs, and
+	// the making of a new connection.
+	turnTimeout = grantTimeout + dialTimeout
 	// releaseTimeout bounds releases, which are answered when the running work has ended.
 	releaseTimeout = 6 * time.Second
-	// maxIdle is the number of connections kept for each target: one for renewals, one for
-	// a release beside them.
-	maxIdle = 2
+	// maxIdle is the number of connections kept for each target: as many as carry grants at a
+	// time, and one for a release beside them.
+	maxIdle = grantsAtOnce + 1
+	// grantsAtOnce is how many grants and renewals are under way to a target at a time; the
+	// others wait for their connections. A target may own dozens of ranges, each renewed
+	// every second: with a connection for each, renewals made most of all new connections to
+	// targets, which hold a slot for a moment. With fewer, a target that leaves half of its
+	// orders unanswered would not get them all within a hold.
+	grantsAtOnce = 4
 	// idleFor is how long an unused connection is kept; targets close theirs after 10 s.
 	idleFor = 5 * time.Second
 )
@@ -54,6 +63,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// turns holds a token for each grant under way to a target.
+	turns map[string]chan struct{}
 }
 
 type conn struct {
@@ -64,11 +75,18 @@
 
 // NewClient returns a client without connections.
 func NewClient(encoder Encoder, names wire.Names, may func() bool) *Client {
-	return &Client{encoder: encoder, names: names, may: may, idle: map[string][]*conn{}}
+	return &Client{encoder: encoder, names: names, may: may, idle: map[string][]*conn{}, turns: map[string]chan struct{}{}}
 }
 
 // Do carries out an order and says what is known of its effect.
 func (c *Client) Do(ctx context.Context, o assign.Order) (assign.Outcome, string) {
+	if o.Kind != assign.Release {
+		done, err := c.turn(ctx, o.Target)
+		if err != nil {
+			return assign.NotSent, ""
+		}
+		defer done()
+	}
 	cn, err := c.connect(ctx, o)
 	if err != nil || !c.may() {
 		if cn != nil {
@@ -97,6 +115,31 @@
 	return assign.Unknown, ""
 }
 
+// errBusy says that earlier orders to the target took too long.
+var errBusy = errors.New("orders: earlier orders are still under way")
+
+// turn waits until a grant may be sent to a target. The returned function must be called
+// when the grant is over.
+func (c *Client) turn(ctx context.Context, target string) (done func(), err error) {
+	c.mu.Lock()
+	turns := c.turns[target]
+	if turns == nil {
+		turns = make(chan struct{}, grantsAtOnce)
+		c.turns[target] = turns
+	}
+	c.mu.Unlock()
+	timer := time.NewTimer(turnTimeout)
+	defer timer.Stop()
+	select {
+	case turns <- struct{}{}:
+		return func() { <-turns }, nil
+	case <-timer.C:
+		return nil, errBusy
+	case <-ctx.Done():
+		return nil, fmt.Errorf("orders: %w", ctx.Err())
+	}
+}
+
 // abort closes a connection with a reset. What a cut holds back of an order is then lost
 // and does not arrive when the cut heals.
 func abort(cn *conn) {
@@ -205,4 +248,10 @@
 		}
 		delete(c.idle, target)
 	}
+	for target := range c.turns {
+		if !keep(target) {
+			// Whoever waits has a turn of its own still.
+			delete(c.turns, target)
+		}
+	}
 }
