Give ranges on as a whole, join them, and store maps in a third of the space

Cause: each range of a target that left was cut among four others, which left later in turn. After half of 453 targets had been replaced the map had 2,485 ranges: balancing stops at 1,500, so that a third of the requests was refused at 70 % load; the row was near its 64 KiB, beyond which no change could have been stored at all. Ruled out: load too high (capacity was there); stale knowledge (ages below 1.8 s). Change: keyrange.Spread gives all that is to be given on at once, heaviest first, to the least full targets, and cuts only what is too much for one; adjoining ranges of one owner are joined under a higher fence, which is a renewal for the owner; ranges are stored as variable-length integers; sums by key make a look at the balance independent of the keys. Tests: light ranges stay whole (300 pieces with a fixed least size), joining, size of a row.

--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -16,15 +16,26 @@
 	}
 	e := m.current.Edit()
 	moving := 0
+	var orphans, lost []keyrange.Range
 	for _, r := range m.current.Ranges {
-		if r.Moving() {
+		switch {
+		case r.Moving():
 			moving++
 			m.conclude(e, now, r)
-		} else {
-			m.rescue(e, now, r)
+		case m.refusedRenewal(r):
+			e.Move(r.From, r.To, r.Owner, false)
+		case m.unreachable(now, r):
+			lost = append(lost, r)
+		case m.leaves(now, r):
+			orphans = append(orphans, r)
 		}
 	}
+	m.spread(e, orphans, false)
+	m.spread(e, lost, true)
 	m.balance(e, now, moving)
+	if e.Changed() || len(m.current.Ranges) > joinAbove*len(m.holders) {
+		e.Join(func(owner string) bool { return m.holder(owner).takes() })
+	}
 	if !e.Changed() {
 		return nil
 	}
@@ -65,39 +76,47 @@
 	m.moves[piece{r.From, r.To, e.Version()}] = &move{released: true, handover: mv.handover, retryAt: clock.Never, begun: mv.begun}
 }
 
-// rescue moves keys away from an owner that leaves, is gone or does not answer.
-func (m *Manager) rescue(e *keyrange.Editor, now clock.Instant, r keyrange.Range) {
+// refusedRenewal reports whether the owner of a range refused to keep it under its fence. It
+// gets the keys again under a higher one.
+func (m *Manager) refusedRenewal(r keyrange.Range) bool {
+	p := piece{r.From, r.To, r.Fence}
+	mv := m.moves[p]
+	if r.Owner == "" || mv == nil || !mv.refused {
+		return false
+	}
+	delete(m.moves, p)
+	return true
+}
+
+// unreachable reports whether the owner of a range cannot be asked to give it up.
+func (m *Manager) unreachable(now clock.Instant, r keyrange.Range) bool {
 	if r.Owner == "" {
-		m.assignFirst(e, now, r)
-		return
-	}
-	if mv := m.moves[piece{r.From, r.To, r.Fence}]; mv != nil && mv.refused {
-		delete(m.moves, piece{r.From, r.To, r.Fence})
-		e.Move(r.From, r.To, r.Owner, false)
-		return
+		return false
 	}
 	h := m.holder(r.Owner)
-	unreachable := h.ended || h.lost(now)
-	if h.listed && !h.target.Draining && !unreachable {
-		return
-	}
 	if !h.listed && h.target.Address == "" && now.Sub(m.tookOver) < settleFor {
 		// The registry may not have been read yet.
-		return
+		return false
 	}
-	m.spread(e, r, m.emptiest(m.capacities(r.Owner), heirs), unreachable || !h.listed)
+	return h.ended || h.lost(now) || !h.listed
 }
 
-// assignFirst gives keys that nobody has ever had to the targets that are there.
-func (m *Manager) assignFirst(e *keyrange.Editor, now clock.Instant, r keyrange.Range) {
-	if m.firstTarget == clock.Never || now.Sub(m.firstTarget) < settleFor {
-		return
+// leaves reports whether a range needs another owner: it has none, or one that is about to
+// leave. Keys that nobody has ever had go to the targets that are there.
+func (m *Manager) leaves(now clock.Instant, r keyrange.Range) bool {
+	if r.Owner == "" {
+		return m.firstTarget != clock.Never && now.Sub(m.firstTarget) >= settleFor
 	}
-	m.spread(e, r, m.capacities(""), false)
+	h := m.holder(r.Owner)
+	return h.listed && h.target.Draining
 }
 
-func (m *Manager) spread(e *keyrange.Editor, r keyrange.Range, targets []keyrange.Capacity, lost bool) {
-	for _, mv := range keyrange.Spread(m.current, m.load, r.From, r.To, targets) {
+// spread gives ranges on to the targets that take keys.
+func (m *Manager) spread(e *keyrange.Editor, ranges []keyrange.Range, lost bool) {
+	if len(ranges) == 0 {
+		return
+	}
+	for _, mv := range keyrange.Spread(m.current, m.load, ranges, m.capacities("")) {
 		e.Move(mv.From, mv.To, mv.Next, lost)
 	}
 }
@@ -133,8 +152,11 @@
 	// of moves it took 14 s for 220 of them.
 	movesPart = 4
 	// maxRanges bounds the ranges of a map, which is one row of at most 64 KiB; a range takes
-	// up to 35 bytes.
-	maxRanges = 1500
+	// about 10 bytes, and its owner's name 15.
+	maxRanges = 4000
+	// joinAbove is the number of ranges for each target from which on adjoining ones of one
+	// owner are joined even if nothing else is to be stored.
+	joinAbove = 2
 )
 
 func (m *Manager) balance(e *keyrange.Editor, now clock.Instant, moving int) {
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -34,8 +34,6 @@
 	// forgiveAfter is how long a target without keys is given none after it failed to answer
 	// an order; nothing else would show that it answers again.
 	forgiveAfter = 2 * time.Second
-	// heirs is the number of targets among which the keys of one that leaves are spread.
-	heirs = 4
 )
 
 // Kind is what an order asks of a target.
--- a/coordination/keyrange/keyrange_test.go
+++ b/coordination/keyrange/keyrange_test.go
@@ -1,7 +1,9 @@
 package keyrange
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,7 +116,8 @@
 func FuzzDecode(f *testing.F) {
 	text, _ := even(3).Encode()
 	f.Add(text)
-	f.Add([]byte(`{"ranges":[[65535,9,1,0,0,0]]}`))
+	f.Add([]byte(`{"targets":[""],"ranges":"gIAEAAA="}`))
+	f.Add([]byte(`{"targets":[""],"ranges":"gIAECQA="}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := Decode(data)
 		if err == nil && m.Find(MaxKey).To != MaxKey {
@@ -194,7 +197,8 @@
 
 var _ = Describe("spreading", func() {
 	It("covers exactly the given keys", func() {
-		moves := Spread(even(5), &Load{}, 100, 20000, capacities(5)[1:])
+		moves := Spread(even(5), &Load{}, []Range{{From: 100, To: 20000}}, capacities(5)[1:])
+		slices.SortFunc(moves, func(a, b Move) int { return cmp.Compare(a.From, b.From) })
 		next := 100
 		for _, mv := range moves {
 			Expect(int(mv.From)).To(Equal(next))
@@ -204,6 +208,73 @@
 	})
 })
 
+var _ = Describe("spreading what many owners leave", func() {
+	// Symptom: after half of the targets were replaced no load is evened out any more.
+	// Sequence: each range of a target that leaves is cut among four others, which leave later.
+	// Cause: the number of ranges multiplied until there were too many for a row.
+	It("gives light ranges on as a whole, to many targets", func() {
+		m, load := even(400), &Load{}
+		for key := range load {
+			load[key] = 700.0 / (MaxKey + 1)
+		}
+		gone := m.Ranges[:100]
+		moves := Spread(m, load, gone, capacities(400)[100:])
+		Expect(len(moves)).To(BeNumerically("<", 2*len(gone)))
+		heirs := map[string]int{}
+		for _, mv := range moves {
+			heirs[mv.Next]++
+		}
+		Expect(len(heirs)).To(BeNumerically(">", 90))
+		Expect(worst(after(m, moves), load, capacities(400)[100:])).To(BeNumerically("<", 0.9), "the mean is 0.39")
+	})
+
+	It("cuts what is too much for one target", func() {
+		m, load := even(4), &Load{}
+		for key := range load {
+			load[key] = 12.0 / (MaxKey + 1)
+		}
+		moves := Spread(m, load, m.Ranges[:1], capacities(4)[1:])
+		Expect(worst(after(m, moves), load, capacities(4)[1:])).To(BeNumerically("<", 0.9), "it is 1 if one gets all")
+	})
+})
+
+var _ = Describe("joining", func() {
+	owned := func(ranges ...Range) *Editor {
+		return &Editor{version: 9, ranges: ranges}
+	}
+	all := func(string) bool { return true }
+
+	It("makes one range of adjoining ones, under a higher fence", func() {
+		e := owned(Range{0, 9, "a", 1, "", 0, false}, Range{10, 19, "a", 2, "", 0, false}, Range{20, 29, "a", 2, "", 0, false}, Range{30, MaxKey, "b", 3, "", 0, false})
+		e.Join(all)
+		Expect(e.Changed()).To(BeTrue())
+		Expect(e.Map().Ranges).To(Equal([]Range{{0, 29, "a", 9, "", 0, false}, {30, MaxKey, "b", 3, "", 0, false}}))
+	})
+
+	It("leaves ranges that change hands, and owners that cannot be granted", func() {
+		e := owned(Range{0, 9, "a", 1, "", 0, false}, Range{10, 19, "a", 2, "b", 5, false}, Range{20, 29, "c", 2, "", 0, false}, Range{30, MaxKey, "c", 3, "", 0, false})
+		e.Join(func(owner string) bool { return owner != "c" })
+		Expect(e.Changed()).To(BeFalse())
+	})
+})
+
+var _ = Describe("a stored map", func() {
+	It("has room for the ranges of many targets in a row of 64 KiB", func() {
+		e := Empty().Edit()
+		for i := range 4000 {
+			e.Move(uint16(16*i), uint16(16*i+15), fmt.Sprintf("i-%010d", i%450), false)
+			if i%3 > 0 {
+				e.Finish(uint16(16*i), uint16(16*i+15))
+			}
+		}
+		m := e.Map()
+		text, err := m.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(text)).To(BeNumerically("<", 64<<10))
+		Expect(Decode(text)).To(Equal(m))
+	})
+})
+
 // BenchmarkPlan measures one look at the balance of 400 targets.
 func BenchmarkPlan(b *testing.B) {
 	m, targets, load := even(400), capacities(400), &Load{}
--- a/coordination/keyrange/map.go
+++ b/coordination/keyrange/map.go
@@ -1,9 +1,6 @@
 package keyrange
 
 import (
-	"encoding/json"
-	"errors"
-	"fmt"
 	"slices"
 	"sort"
 )
@@ -94,6 +91,23 @@
 	})
 }
 
+// Join joins adjoining ranges that are served by one owner for which the function holds.
+// The joined range gets the fence of this change: the owner is granted it as a whole, which
+// takes the place of what it was granted of the parts.
+func (e *Editor) Join(may func(owner string) bool) {
+	for i := 1; i < len(e.ranges); i++ {
+		a, b := &e.ranges[i-1], &e.ranges[i]
+		if !a.Served() || !b.Served() || a.Owner != b.Owner || a.Fence == b.Fence || !may(a.Owner) {
+			continue
+		}
+		a.Fence, b.Fence = e.version, e.version
+		e.changed = true
+		for j := i - 2; j >= 0 && e.ranges[j].Served() && e.ranges[j].Owner == a.Owner; j-- {
+			e.ranges[j].Fence = e.version
+		}
+	}
+}
+
 // update changes the keys from..to, cutting ranges where needed.
 func (e *Editor) update(from, to uint16, change func(*Range)) {
 	var out []Range
@@ -139,66 +153,3 @@
 func joins(a, b Range) bool {
 	return a.Owner == b.Owner && a.Fence == b.Fence && a.Next == b.Next && a.NextFence == b.NextFence && a.Lost == b.Lost
 }
-
-// encoded is the stored form: targets are named once, ranges refer to them by place.
-type encoded struct {
-	Version uint64      `json:"version"`
-	Targets []string    `json:"targets"`
-	Ranges  [][6]uint64 `json:"ranges"`
-}
-
-// Encode returns the stored form of a map.
-func (m *Map) Encode() ([]byte, error) {
-	e := encoded{Version: m.Version, Targets: []string{""}}
-	places := map[string]uint64{"": 0}
-	place := func(id string) uint64 {
-		p, ok := places[id]
-		if !ok {
-			p = uint64(len(e.Targets))
-			places[id] = p
-			e.Targets = append(e.Targets, id)
-		}
-		return p
-	}
-	for _, r := range m.Ranges {
-		lost := uint64(0)
-		if r.Lost {
-			lost = 1
-		}
-		e.Ranges = append(e.Ranges, [6]uint64{uint64(r.To), place(r.Owner), r.Fence, place(r.Next), r.NextFence, lost})
-	}
-	text, err := json.Marshal(e)
-	if err != nil {
-		return nil, fmt.Errorf("keyrange: encode: %w", err)
-	}
-	return text, nil
-}
-
-// ErrInvalid says that a stored map cannot be one that Encode made.
-var ErrInvalid = errors.New("keyrange: invalid map")
-
-// Decode reads the stored form.
-func Decode(text []byte) (*Map, error) {
-	var e encoded
-	if err := json.Unmarshal(text, &e); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	m := &Map{Version: e.Version}
-	from := uint64(0)
-	for _, r := range e.Ranges {
-		if r[0] < from || r[0] > MaxKey || r[1] >= uint64(len(e.Targets)) || r[3] >= uint64(len(e.Targets)) {
-			return nil, fmt.Errorf("%w: range %v", ErrInvalid, r)
-		}
-		m.Ranges = append(m.Ranges, Range{
-			From: uint16(from), To: uint16(r[0]),
-			Owner: e.Targets[r[1]], Fence: r[2],
-			Next: e.Targets[r[3]], NextFence: r[4],
-			Lost: r[5] != 0,
-		})
-		from = r[0] + 1
-	}
-	if from != MaxKey+1 {
-		return nil, fmt.Errorf("%w: it ends at %d", ErrInvalid, from)
-	}
-	return m, nil
-}
--- a/coordination/keyrange/plan.go
+++ b/coordination/keyrange/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 )
 
 // Load is the work that arrives for each key, in seconds of one slot of an average target
@@ -53,12 +54,11 @@
 
 // planner looks at one map and one load.
 type planner struct {
-	load     *Load
 	policy   Policy
 	accounts map[string]*account
 	order    []*account
-	// spare is the idle work of one key.
-	spare float64
+	// below is the work of all keys below a key, idle work included.
+	below [MaxKey + 2]float64
 }
 
 // Plan returns moves that even out the load among the targets. Ranges of owners that are
@@ -81,7 +81,10 @@
 }
 
 func newPlanner(m *Map, load *Load, targets []Capacity, policy Policy) *planner {
-	p := &planner{load: load, policy: policy, accounts: map[string]*account{}, spare: idleWork / (MaxKey + 1)}
+	p := &planner{policy: policy, accounts: map[string]*account{}}
+	for key, work := range load {
+		p.below[key+1] = p.below[key] + float64(work) + idleWork/(MaxKey+1)
+	}
 	for _, t := range targets {
 		a := &account{Capacity: t}
 		p.accounts[t.Target] = a
@@ -102,18 +105,26 @@
 }
 
 // work returns the load of the keys from..to.
-func (p *planner) work(from, to uint16) float64 {
-	sum := 0.0
-	for key := int(from); key <= int(to); key++ {
-		sum += float64(p.load[key])
-	}
-	return sum + p.spare*float64(int(to)-int(from)+1)
+func (p *planner) work(from, to uint16) float64 { return p.below[int(to)+1] - p.below[from] }
+
+// reaches returns the first key up to which the keys from.. have at least the given work, or
+// to if there is none.
+func (p *planner) reaches(from, to uint16, work float64) uint16 {
+	n := sort.Search(int(to)-int(from), func(i int) bool { return p.work(from, from+uint16(i)) >= work })
+	return from + uint16(n)
+}
+
+// reachesBack returns the last key from which on the keys ..to have at least the given work,
+// or from if there is none.
+func (p *planner) reachesBack(from, to uint16, work float64) uint16 {
+	n := sort.Search(int(to)-int(from), func(i int) bool { return p.work(to-uint16(i), to) >= work })
+	return to - uint16(n)
 }
 
 // next finds the move that helps the fullest target which can still be helped.
 func (p *planner) next() (Move, bool) {
 	mean := p.mean()
-	coldest := slices.MinFunc(p.order, func(a, b *account) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+	coldest := p.emptiest()
 	for {
 		hottest := p.hottest()
 		if hottest == nil || hottest == coldest {
@@ -176,30 +187,18 @@
 }
 
 func (p *planner) prefixes(r Range, want float64, consider func(from, to uint16, work float64)) {
-	sum := 0.0
-	for key := int(r.From); key <= int(r.To); key++ {
-		sum += float64(p.load[key]) + p.spare
-		if sum >= want || key == int(r.To) {
-			consider(r.From, uint16(key), sum)
-			if key > int(r.From) {
-				consider(r.From, uint16(key-1), sum-float64(p.load[key])-p.spare)
-			}
-			return
-		}
+	to := p.reaches(r.From, r.To, want)
+	consider(r.From, to, p.work(r.From, to))
+	if to > r.From {
+		consider(r.From, to-1, p.work(r.From, to-1))
 	}
 }
 
 func (p *planner) suffixes(r Range, want float64, consider func(from, to uint16, work float64)) {
-	sum := 0.0
-	for key := int(r.To); key >= int(r.From); key-- {
-		sum += float64(p.load[key]) + p.spare
-		if sum >= want || key == int(r.From) {
-			consider(uint16(key), r.To, sum)
-			if key < int(r.To) {
-				consider(uint16(key+1), r.To, sum-float64(p.load[key])-p.spare)
-			}
-			return
-		}
+	from := p.reachesBack(r.From, r.To, want)
+	consider(from, r.To, p.work(from, r.To))
+	if from < r.To {
+		consider(from+1, r.To, p.work(from+1, r.To))
 	}
 }
 
@@ -227,60 +226,6 @@
 	giver.pieces = rest
 }
 
-// Spread cuts the keys from..to into pieces in proportion to how much room the targets
-// have left, so that keys whose owner is gone land on several others.
-func Spread(m *Map, load *Load, from, to uint16, targets []Capacity) []Move {
-	if len(targets) == 0 {
-		return nil
-	}
-	p := newPlanner(m, load, targets, Policy{})
-	total := p.work(from, to)
-	level := p.level(total)
-	var moves []Move
-	key := int(from)
-	for i, a := range p.order {
-		room := max(0, level*a.Slots-a.work)
-		last := i == len(p.order)-1
-		if room <= 0 && !last {
-			continue
-		}
-		start, sum := key, 0.0
-		for key <= int(to) && (last || sum < room) {
-			sum += float64(p.load[key]) + p.spare
-			key++
-		}
-		if key > start {
-			moves = append(moves, Move{From: uint16(start), To: uint16(key - 1), Next: a.Target})
-		}
-		if key > int(to) {
-			break
-		}
-	}
-	return moves
-}
-
-// level returns the utilisation to which all targets can be filled with the work.
-func (p *planner) level(work float64) float64 {
-	low, high := 0.0, 0.0
-	for _, a := range p.order {
-		high = max(high, a.utilisation())
-	}
-	high += work/p.order[0].Slots + 1
-	for range 40 {
-		middle := (low + high) / 2
-		room := 0.0
-		for _, a := range p.order {
-			room += max(0, middle*a.Slots-a.work)
-		}
-		if room < work {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return high
-}
-
 // Utilisation returns the load of each target relative to its capacity.
 func Utilisation(m *Map, load *Load, targets []Capacity) map[string]float64 {
 	p := newPlanner(m, load, targets, Policy{})
