Watch a new connection before a request is sent on it

Ruled out: idle connections that were forgotten (200 of them). Change: 2 ms and the time that connecting took are waited for a reset; it then counts as not sent. Test: sends nothing on a new connection that is reset at once (fails without).

--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +22,13 @@
 	// milliseconds away. Its queue of new connections may be full; the next try then comes
 	// a second later, which is too late for most requests.
 	dialTimeout = 350 * time.Millisecond
+	// settleTime is how long a new connection is watched before a request is sent on it, beside
+	// the time that its making took. A target that has as many connections as it accepts, or
+	// whose queue is long, accepts one more and resets it at once. A request that was written
+	// meanwhile has an unknown outcome; one that was not can be sent to another target. After
+	// all instances had lost power 1,100 of 9,000 requests were lost to such resets, while
+	// the targets still counted the connections of the former processes.
+	settleTime = 2 * time.Millisecond
 	// idleDefault is how long an unused connection is kept when the target does not say.
 	idleDefault = 4 * time.Second
 	// idleSlack is taken off what the target says, so that a request does not meet the
@@ -50,6 +59,9 @@
 
 // Pool keeps connections to targets. It is safe for concurrent use.
 type Pool struct {
+	// settle is settleTime but in tests.
+	settle time.Duration
+
 	mu      sync.Mutex
 	targets map[string]*connections
 }
@@ -62,7 +74,7 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{targets: map[string]*connections{}} }
+func NewPool() *Pool { return &Pool{settle: settleTime, targets: map[string]*connections{}} }
 
 func (p *Pool) target(id string) *connections {
 	c := p.targets[id]
@@ -105,7 +117,11 @@
 	t.open++
 	p.mu.Unlock()
 	dialer := net.Dialer{Timeout: dialTimeout}
+	begun := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		err = settled(raw, time.Since(begun)+p.settle)
+	}
 	if err != nil {
 		p.closed(id)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -114,6 +130,25 @@
 	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleFor: idleDefault}, nil
 }
 
+// settled watches a new connection for a while, and closes it if it does not stay open and
+// silent.
+func settled(conn net.Conn, wait time.Duration) error {
+	err := conn.SetReadDeadline(time.Now().Add(wait))
+	if err == nil {
+		var b [1]byte
+		if _, err = conn.Read(b[:]); err == nil {
+			err = errors.New("bytes before any request")
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = conn.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		conn.Close()
+	}
+	return err
+}
+
 func (p *Pool) closed(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -128,6 +128,30 @@
 		Expect(err).To(MatchError(ErrNotSent))
 	})
 
+	// Symptom: bookings end with an unknown outcome that no target has seen.
+	// Sequence: the target has as many connections as it takes, accepts one more and resets it
+	// while the booking is being written. Cause: it was written at once.
+	It("sends nothing on a new connection that is reset at once", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				reset(conn)
+			}
+		}()
+		c := newClient()
+		c.pool.settle = 10 * time.Second
+		begun := time.Now()
+		_, err = c.Do(within(20*time.Second), Target{ID: "t1", Address: l.Addr().String()}, post("1", "b"))
+		Expect(err).To(MatchError(ErrNotSent))
+		Expect(time.Since(begun)).To(BeNumerically("<", 5*time.Second))
+	})
+
 	// Symptom: a booking is refused as not run, and had run.
 	// Sequence: the target takes the request and resets the connection.
 	// Cause: a reset says nothing about what was run.
