--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -58,6 +58,8 @@
 	// asked.
 	returning bool
 	elapsed   time.Duration
+	// given is how long the caller says that it waits; 0: it does not say.
+	given time.Duration
 
 	// What follows is told in the log.
 	tries   int
@@ -130,6 +132,7 @@
 	left := c.decision.Rule.DeadlineOf()
 	if ms, err := strconv.ParseInt(c.r.Header.Get(c.h.config.Names.Timeout), 10, 64); err == nil && ms > 0 {
 		given := time.Duration(ms) * time.Millisecond
+		c.given = given
 		c.elapsed, c.returning = c.h.patience.Seen(c.decision.Rule.Name, given)
 		left = min(left, given)
 	}
@@ -299,7 +302,7 @@
 		status, reason = res.answer.Status, "answered"
 	}
 	fields := []any{
-		"request", c.id, "status", status, "outcome", reason, "took_ms", took.Milliseconds(),
+		"request", c.id, "status", status, "outcome", reason, "took_ms", took.Milliseconds(), "given_ms", c.given.Milliseconds(),
 		"rules", c.snapshot.RulesVersion, "known_ms", c.h.clock.Now().Sub(c.h.board.KnownAt()).Milliseconds(),
 	}
 	if c.decision.Rule != nil {
--- a/transport/front/policy.go
+++ b/transport/front/policy.go
@@ -147,28 +147,3 @@
 	credit[best] -= total
 	return backends[best].Service
 }
-
-// Patience learns how long the callers of each rule wait. A request that comes with less
-// than the usual time is one whose caller has been refused before and has come back. It is
-// safe for concurrent use.
-type Patience struct {
-	mu   sync.Mutex
-	most map[string]time.Duration
-}
-
-// NewPatience returns a Patience that has seen nobody.
-func NewPatience() *Patience { return &Patience{most: map[string]time.Duration{}} }
-
-// returningAfter is the least time that must be missing for a request to count as one that
-// came back: the shortest pause that is asked of callers.
-const returningAfter = 100 * time.Millisecond
-
-// Seen notes the time that a caller gives, and returns how long ago it first asked.
-func (p *Patience) Seen(rule string, given time.Duration) (elapsed time.Duration, returning bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	most := max(p.most[rule], given)
-	p.most[rule] = most
-	elapsed = most - given
-	return elapsed, elapsed >= returningAfter
-}
