Divide the targets of a service into groups with a keeper each; give up early; come back sooner

Ruled out: slots (74 % in use), targets' own pace (10 to 200 ms where keys decide the target). Change: more than 16 targets are divided by data centre and hash into groups of about ten, each with a keeper at home; an instance asks up to three groups for a free slot, the own data centre first, and queues where the wait is shortest. A queue gives up what more urgent requests have pushed too far back. A request that its target refused may come back after 100 ms, not 500. A keeper hands out no slot of a target that it knows to have been leaving for 0.4 s. Tests: groups, order of asking, no queue for asks for a free slot, early giving up, the keeper's check. Without the change of the pool the test of asks for a free slot does not end.

--- a/coordination/permit/keeper.go
+++ b/coordination/permit/keeper.go
@@ -20,13 +20,22 @@
 type Keeper struct {
 	clock clock.Clock
 	// slots returns the targets of a pool as they are believed to be now.
-	slots func(service, target string) []Slot
+	slots func(id PoolID) []Slot
 
 	mu    sync.Mutex
-	pools map[poolID]*keptPool
+	pools map[PoolID]*keptPool
 }
 
-type poolID struct{ service, target string }
+// PoolID names the slots of one target, or of a group of targets that serve the same.
+type PoolID struct {
+	Service string
+	// Target is empty for services without keys.
+	Target string
+	Group  string
+}
+
+// Pool returns what an ask is for.
+func (a Ask) Pool() PoolID { return PoolID{a.Service, a.Target, a.Group} }
 
 type keptPool struct {
 	*pool
@@ -35,8 +44,8 @@
 
 // NewKeeper returns a keeper. The function slots is called with the lock held and must not
 // block.
-func NewKeeper(c clock.Clock, slots func(service, target string) []Slot) *Keeper {
-	return &Keeper{clock: c, slots: slots, pools: map[poolID]*keptPool{}}
+func NewKeeper(c clock.Clock, slots func(PoolID) []Slot) *Keeper {
+	return &Keeper{clock: c, slots: slots, pools: map[PoolID]*keptPool{}}
 }
 
 // Run looks after the queues until ctx ends.
@@ -64,14 +73,13 @@
 			}
 			continue
 		}
-		p.setSlots(k.slots(id.service, id.target))
+		p.setSlots(k.slots(id))
 		p.reclaim(now)
 		p.serve(now)
 	}
 }
 
-func (k *Keeper) pool(service, target string, now clock.Instant) *keptPool {
-	id := poolID{service, target}
+func (k *Keeper) pool(id PoolID, now clock.Instant) *keptPool {
 	p := k.pools[id]
 	if p == nil {
 		p = &keptPool{pool: newPool()}
@@ -92,7 +100,7 @@
 	case a := <-w.done:
 		return a.permit, a.err
 	case <-ctx.Done():
-		k.Abandon(ask.Service, ask.Target, ask.ID)
+		k.Abandon(ask.Pool(), ask.ID)
 		return Permit{}, ctx.Err()
 	}
 }
@@ -101,8 +109,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	p := k.pool(ask.Service, ask.Target, now)
-	p.setSlots(k.slots(ask.Service, ask.Target))
+	p := k.pool(ask.Pool(), now)
+	p.setSlots(k.slots(ask.Pool()))
 	w := &waiter{
 		ask: ask, arrived: now, aim: now.Add(ask.AimLeft), deadline: now.Add(ask.Left),
 		expected: p.expected(ask), done: make(chan answer, 1),
@@ -112,11 +120,11 @@
 }
 
 // Release gives a permit back.
-func (k *Keeper) Release(service, target string, r Report) {
+func (k *Keeper) Release(id PoolID, r Report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	p := k.pools[poolID{service, target}]
+	p := k.pools[id]
 	if p == nil {
 		return
 	}
@@ -125,10 +133,10 @@
 }
 
 // Abandon withdraws an ask.
-func (k *Keeper) Abandon(service, target, id string) {
+func (k *Keeper) Abandon(pool PoolID, id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if p := k.pools[poolID{service, target}]; p != nil {
+	if p := k.pools[pool]; p != nil {
 		now := k.clock.Now()
 		p.abandon(id, now)
 		p.serve(now)
--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -117,6 +117,25 @@
 		Expect(a.err).To(MatchError(ContainSubstring(ReasonLate)))
 	})
 
+	// Symptom: lookups are refused after 2.9 s of 3 s, with no time left to come back.
+	// Sequence: a lookup is queued for its turn; more urgent requests come one after the other.
+	// Cause: the queue was looked at again only when the lookup's own time was over.
+	g.It("gives up early what more urgent requests have pushed too far back", func() {
+		f := newFixture(Slot{Target: "a", Slots: 1})
+		f.ask(nil)
+		low, _, err := f.ask(func(a *Ask) { a.Priority = 2 })
+		Expect(err).NotTo(HaveOccurred())
+		for range 25 {
+			_, _, err := f.ask(func(a *Ask) { a.Returning, a.Left = true, time.Minute })
+			Expect(err).NotTo(HaveOccurred())
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.serve(f.now)
+		var a answer
+		Expect(low.done).To(Receive(&a))
+		Expect(a.err).To(MatchError(ContainSubstring(ReasonLate)))
+	})
+
 	g.It("prefers the faster target", func() {
 		f := newFixture(two(4)...)
 		for range 40 {
@@ -196,7 +215,7 @@
 
 var _ = g.Describe("a keeper", func() {
 	g.It("gives the slot of a caller that has gone to the next one", func() {
-		k := NewKeeper(clock.System{}, func(string, string) []Slot { return []Slot{{Target: "a", Slots: 1}} })
+		k := NewKeeper(clock.System{}, func(PoolID) []Slot { return []Slot{{Target: "a", Slots: 1}} })
 		ask := func(id string) Ask {
 			return Ask{ID: id, Service: "s", Rule: "r", AimLeft: time.Second, Left: 2 * time.Second}
 		}
@@ -206,23 +225,82 @@
 		defer cancel()
 		_, err = k.Acquire(ctx, ask("2"))
 		Expect(err).To(MatchError(context.DeadlineExceeded))
-		k.Release("s", "", Report{ID: "1", Target: "a", Rule: "r", Result: Served, Took: time.Millisecond})
+		k.Release(PoolID{Service: "s"}, Report{ID: "1", Target: "a", Rule: "r", Result: Served, Took: time.Millisecond})
 		p, err := k.Acquire(context.Background(), ask("3"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Target).To(Equal("a"))
 	})
 })
 
+var _ = g.Describe("groups", func() {
+	many := func(count int) (list []Slot) {
+		for i := range count {
+			list = append(list, Slot{Target: fmt.Sprint("t", i), DataCentre: fmt.Sprint("dc", i%5), Slots: 2})
+		}
+		return list
+	}
+
+	g.It("are one for a few targets", func() {
+		Expect(Groups(many(groupAbove))).To(HaveLen(1))
+	})
+
+	// Symptom: requests of a service without keys are late on all instances.
+	// Sequence: 74 targets, 1,600 messages a second to their one keeper, a small instance.
+	// Cause: one queue for all of them.
+	g.It("hold a dozen targets of one data centre each", func() {
+		list := many(74)
+		slots := 0
+		for _, group := range Groups(list) {
+			Expect(group.Slots).To(BeNumerically("<=", 2*2*groupSize))
+			Expect(group.DataCentre).NotTo(BeEmpty())
+			slots += group.Slots
+		}
+		Expect(slots).To(Equal(2 * 74))
+		Expect(len(Groups(list))).To(BeNumerically(">=", 8))
+	})
+
+	g.It("are asked at home first, and not while they are known to be full", func() {
+		groups := Groups(many(74))
+		c := NewChooser(clock.System{}, "dc3")
+		Expect(c.Order("s", groups)[0].DataCentre).To(Equal("dc3"))
+		for _, group := range groups {
+			if group.DataCentre == "dc3" {
+				c.Told("s", group.Name, time.Second)
+			}
+		}
+		for _, group := range c.Order("s", groups) {
+			Expect(group.DataCentre).NotTo(Equal("dc3"))
+		}
+		for _, group := range groups {
+			c.Told("s", group.Name, time.Second)
+		}
+		Expect(c.Order("s", groups)).To(BeEmpty())
+		c.Told("s", groups[2].Name, 100*time.Millisecond)
+		Expect(c.Shortest("s", groups).Name).To(Equal(groups[2].Name))
+	})
+
+	g.It("do not queue an ask for a free slot", func() {
+		k := NewKeeper(clock.System{}, func(PoolID) []Slot { return []Slot{{Target: "a", Slots: 1}} })
+		ask := func(id string) Ask {
+			return Ask{ID: id, Service: "s", Rule: "r", AimLeft: time.Second, Left: 2 * time.Second, NoQueue: true}
+		}
+		_, err := k.Acquire(context.Background(), ask("1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = k.Acquire(context.Background(), ask("2"))
+		Expect(err).To(MatchError(ContainSubstring(ReasonBusy)))
+	})
+})
+
 // BenchmarkAcquire measures a permit and its return, with a queue of none.
 func BenchmarkAcquire(b *testing.B) {
 	slots := two(6)
-	k := NewKeeper(clock.System{}, func(string, string) []Slot { return slots })
+	k := NewKeeper(clock.System{}, func(PoolID) []Slot { return slots })
 	b.ReportAllocs()
 	for b.Loop() {
 		p, err := k.Acquire(context.Background(), Ask{ID: "x", Service: "s", Rule: "r", AimLeft: time.Second, Left: time.Second})
 		if err != nil {
 			b.Fatal(err)
 		}
-		k.Release("s", "", Report{ID: p.ID, Target: p.Target, Rule: "r", Result: Served, Took: time.Millisecond})
+		k.Release(PoolID{Service: "s"}, Report{ID: p.ID, Target: p.Target, Rule: "r", Result: Served, Took: time.Millisecond})
 	}
 }
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -165,20 +165,30 @@
 
 // wait estimates how long until the request would get a slot.
 func (p *pool) wait(w *waiter, now clock.Instant) time.Duration {
-	work := time.Duration(0)
-	for _, u := range p.uses {
-		work += max(u.expected-now.Sub(u.begun), u.expected/4)
-	}
+	work := p.running(now)
 	for _, v := range p.waiting {
 		if !w.before(v, now) {
 			work += v.expected
 		}
 	}
-	capacity := p.capacity(now)
-	if capacity <= 0 {
+	return waitFor(work, p.capacity(now))
+}
+
+// running returns the work that is left of the requests that have a slot.
+func (p *pool) running(now clock.Instant) time.Duration {
+	work := time.Duration(0)
+	for _, u := range p.uses {
+		work += max(u.expected-now.Sub(u.begun), u.expected/4)
+	}
+	return work
+}
+
+// waitFor returns how long work takes that slots do beside each other.
+func waitFor(work time.Duration, slots float64) time.Duration {
+	if slots <= 0 {
 		return asideFor
 	}
-	return time.Duration(float64(work) / capacity)
+	return time.Duration(float64(work) / slots)
 }
 
 // admit decides about a new ask: a permit, a place in the queue, or a refusal.
@@ -190,6 +200,9 @@
 		return p.grant(w, s, now), false, nil
 	}
 	wait := p.wait(w, now)
+	if w.ask.NoQueue {
+		return Permit{}, false, &RefusedError{Reason: ReasonBusy, RetryAfter: max(wait, time.Millisecond)}
+	}
 	if room := now.Add(wait + w.expected); room > w.worthUntil() {
 		return Permit{}, false, &RefusedError{Reason: ReasonFull, RetryAfter: max(leastRetryAfter, wait)}
 	}
@@ -223,7 +236,9 @@
 	return Permit{ID: w.ask.ID, Target: s.Target, Waited: now.Sub(w.arrived)}
 }
 
-// serve hands free slots to the queue, and refuses what can no longer be served.
+// serve hands free slots to the queue, and refuses what will not be served in time any more:
+// more urgent requests may have come since it was queued. Holding it until its time is over
+// would leave its caller none to come back in.
 func (p *pool) serve(now clock.Instant) {
 	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
 		switch {
@@ -235,15 +250,18 @@
 		return 0
 	})
 	rest := p.waiting[:0]
+	ahead, capacity := p.running(now), p.capacity(now)
 	for _, w := range p.waiting {
-		if now.Add(w.expected/2) > w.deadline {
-			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, p.wait(w, now))}}
+		if s := p.pick(w, now); s != nil && now.Add(w.expected/2) <= w.deadline {
+			w.done <- answer{permit: p.grant(w, s, now)}
+			ahead += w.expected
 			continue
 		}
-		if s := p.pick(w, now); s != nil {
-			w.done <- answer{permit: p.grant(w, s, now)}
+		if wait := waitFor(ahead, capacity); now.Add(wait+w.expected/2) > w.deadline {
+			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, wait)}}
 			continue
 		}
+		ahead += w.expected
 		rest = append(rest, w)
 	}
 	clear(p.waiting[len(rest):])
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -16,6 +16,10 @@
 	Service string
 	Target  string
 	Exclude []string
+	// Group is the part of a service's targets that is asked for; see Groups.
+	Group string
+	// NoQueue asks for a free slot only: without one the ask is refused as busy.
+	NoQueue bool
 	Rule    string
 	// Priority is the rule's rank; 0 goes first.
 	Priority int
@@ -81,6 +85,9 @@
 	ReasonFull = "full"
 	// ReasonNoTarget: no target of the service is there.
 	ReasonNoTarget = "no-target"
+	// ReasonBusy: no slot is free, and the ask is not to be queued. RetryAfter is how long it
+	// would wait.
+	ReasonBusy = "busy"
 	// ReasonLate: the request waited and its time is now too short.
 	ReasonLate = "late"
 )
--- a/coordination/view/target.go
+++ b/coordination/view/target.go
@@ -23,3 +23,13 @@
 	// Cold is how much longer the target was expected to be slow when it was listed.
 	Cold time.Duration
 }
+
+// LeaveAfter is how long after it was known to be draining a target is still sent to. It must
+// get nothing 2 s after it said so; the news takes up to 1.5 s while the leading instance
+// changes.
+const LeaveAfter = 400 * time.Millisecond
+
+// Left reports whether a target has been draining for so long that it may have ended.
+func (t Target) Left(now clock.Instant) bool {
+	return t.Draining && now.Sub(t.DrainingAt) > LeaveAfter
+}
--- a/instance/broker.go
+++ b/instance/broker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +38,13 @@
 	spare *permit.Keeper
 	log   func(event string, fields ...any)
 
-	mu       sync.Mutex
-	suspects map[string]clock.Instant
+	// chooser says which group of a service's targets to ask.
+	chooser *permit.Chooser
+
+	// mu is a leaf.
+	mu        sync.Mutex
+	groupings map[string]*grouping
+	suspects  map[string]clock.Instant
 	// lent says where each permit came from.
 	lent map[string]lender
 }
@@ -47,32 +53,62 @@
 type lender struct {
 	address string
 	keeper  *permit.Keeper
+	pool    permit.PoolID
 }
 
 func newBroker(self view.Instance, c clock.Clock, board *view.Board, client *peers.Client, log func(string, ...any)) *broker {
-	b := &broker{self: self, clock: c, board: board, peers: client, log: log, suspects: map[string]clock.Instant{}, lent: map[string]lender{}}
+	b := &broker{
+		self: self, clock: c, board: board, peers: client, log: log, suspects: map[string]clock.Instant{}, lent: map[string]lender{},
+		groupings: map[string]*grouping{}, chooser: permit.NewChooser(c, self.DataCentre),
+	}
 	b.kept = permit.NewKeeper(c, b.slots)
 	b.spare = permit.NewKeeper(c, b.spareSlots)
 	return b
 }
 
 // slots lists the targets of a pool.
-func (b *broker) slots(service, target string) []permit.Slot {
+func (b *broker) slots(id permit.PoolID) []permit.Slot {
 	s := b.board.Load()
-	if target != "" {
-		t, known := s.Targets[target]
-		if !known {
+	if id.Target != "" {
+		// An instance that is short of processor time may not have heard yet that a target
+		// leaves; its keeper is another one.
+		t, known := s.Targets[id.Target]
+		if !known || t.Left(b.clock.Now()) {
 			return nil
 		}
 		return []permit.Slot{slotOf(t)}
 	}
+	return b.grouped(s, id.Service).slots[id.Group]
+}
+
+// grouping is how the targets of a service are divided.
+type grouping struct {
+	// of is the snapshot that it was made of.
+	of     *view.Snapshot
+	groups []permit.Group
+	slots  map[string][]permit.Slot
+}
+
+// grouped returns the groups of a service's targets that may be used.
+func (b *broker) grouped(s *view.Snapshot, service string) *grouping {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g := b.groupings[service]; g != nil && g.of.TargetsDigest == s.TargetsDigest {
+		return g
+	}
 	var list []permit.Slot
 	for _, t := range s.ByService[service] {
 		if !t.Draining {
 			list = append(list, slotOf(t))
 		}
 	}
-	return list
+	g := &grouping{of: s, groups: permit.Groups(list), slots: map[string][]permit.Slot{}}
+	for _, slot := range list {
+		name := permit.GroupOf(slot, list)
+		g.slots[name] = append(g.slots[name], slot)
+	}
+	b.groupings[service] = g
+	return g
 }
 
 func slotOf(t view.Target) permit.Slot {
@@ -80,9 +116,9 @@
 }
 
 // spareSlots lists the targets of a pool with this instance's even share of their slots.
-func (b *broker) spareSlots(service, target string) []permit.Slot {
+func (b *broker) spareSlots(id permit.PoolID) []permit.Slot {
 	instances := len(b.board.Load().Instances)
-	list := b.slots(service, target)
+	list := slices.Clone(b.slots(id))
 	for i := range list {
 		if instances == 0 {
 			list[i].Slots = 1
@@ -93,17 +129,18 @@
 	return list
 }
 
-// keeper returns the instance that keeps a pool, by rendezvous hashing: every instance with
-// the same list finds the same, and a list that differs in one moves only what that one
-// kept. An instance in the target's data centre is preferred.
-func (b *broker) keeper(service, target string) view.Instance {
-	s := b.board.Load()
-	home := s.Targets[target].DataCentre
+// keeper returns the instance that keeps a pool, by rendezvous hashing. One in the data
+// centre of the targets is preferred.
+func (b *broker) keeper(id permit.PoolID, home string) view.Instance {
 	best, bestScore, bestHome := b.self, math.Inf(-1), false
-	for _, i := range s.Instances {
-		score := i.Score(service + "/" + target)
+	duty := id.Service + "/" + id.Target + "/" + id.Group
+	for _, i := range b.board.Load().Instances {
 		atHome := home != "" && i.DataCentre == home
-		if atHome != bestHome && !atHome || atHome == bestHome && score <= bestScore {
+		if bestHome && !atHome {
+			continue
+		}
+		score := i.Score(duty)
+		if atHome == bestHome && score <= bestScore {
 			continue
 		}
 		best, bestScore, bestHome = i, score, atHome
@@ -111,13 +148,52 @@
 	return best
 }
 
-// Acquire asks the keeper for a permit.
+// Acquire gets a permit for a target, or for any target of a service.
 func (b *broker) Acquire(ctx context.Context, ask permit.Ask) (permit.Permit, error) {
-	if len(b.board.Load().Instances) == 0 {
+	s := b.board.Load()
+	if len(s.Instances) == 0 {
 		// Nobody knows yet who else is there.
 		return b.own(ctx, b.spare, ask)
 	}
-	keeper := b.keeper(ask.Service, ask.Target)
+	if ask.Target != "" {
+		return b.acquire(ctx, ask, s.Targets[ask.Target].DataCentre)
+	}
+	groups := b.grouped(s, ask.Service).groups
+	if len(groups) < 2 {
+		return b.acquire(ctx, ask, "")
+	}
+	for _, g := range b.chooser.Order(ask.Service, groups) {
+		ask.Group = g.Name
+		ask.NoQueue = true
+		p, err := b.acquire(ctx, ask, g.DataCentre)
+		var refused *permit.RefusedError
+		if !errors.As(err, &refused) {
+			return p, err
+		}
+		b.chooser.Told(ask.Service, g.Name, refused.RetryAfter)
+	}
+	g := b.chooser.Shortest(ask.Service, groups)
+	ask.Group = g.Name
+	ask.NoQueue = false
+	p, err := b.acquire(ctx, ask, g.DataCentre)
+	b.learn(ask, p, err)
+	return p, err
+}
+
+// learn notes what the queue of a group was like.
+func (b *broker) learn(ask permit.Ask, p permit.Permit, err error) {
+	var refused *permit.RefusedError
+	switch {
+	case err == nil:
+		b.chooser.Told(ask.Service, ask.Group, p.Waited)
+	case errors.As(err, &refused):
+		b.chooser.Told(ask.Service, ask.Group, refused.RetryAfter)
+	}
+}
+
+// acquire asks the keeper of a pool, whose targets are in the data centre home.
+func (b *broker) acquire(ctx context.Context, ask permit.Ask, home string) (permit.Permit, error) {
+	keeper := b.keeper(ask.Pool(), home)
 	if keeper.ID == b.self.ID {
 		return b.own(ctx, b.kept, ask)
 	}
@@ -127,7 +203,7 @@
 			return b.granted(keeper.Address, ask, reply)
 		}
 		if ctx.Err() != nil {
-			b.peers.Release(keeper.Address, &peerapi.ReleaseArgs{Service: ask.Service, Target: ask.Target, Abandon: true, Report: permit.Report{ID: ask.ID}})
+			b.peers.Release(keeper.Address, &peerapi.ReleaseArgs{Pool: ask.Pool(), Abandon: true, Report: permit.Report{ID: ask.ID}})
 			return permit.Permit{}, ctx.Err()
 		}
 		b.suspected(keeper, err)
@@ -138,7 +214,7 @@
 func (b *broker) own(ctx context.Context, k *permit.Keeper, ask permit.Ask) (permit.Permit, error) {
 	p, err := k.Acquire(ctx, ask)
 	if err == nil {
-		b.lend(p.ID, lender{keeper: k})
+		b.lend(p.ID, lender{keeper: k, pool: ask.Pool()})
 	}
 	return p, err
 }
@@ -147,7 +223,7 @@
 	if !reply.Granted {
 		return permit.Permit{}, &permit.RefusedError{Reason: reply.Reason, RetryAfter: reply.RetryAfter}
 	}
-	b.lend(ask.ID, lender{address: address})
+	b.lend(ask.ID, lender{address: address, pool: ask.Pool()})
 	return reply.Permit, nil
 }
 
@@ -207,7 +283,7 @@
 }
 
 // Release gives a permit back to where it came from.
-func (b *broker) Release(service, target string, r permit.Report) {
+func (b *broker) Release(r permit.Report) {
 	b.mu.Lock()
 	l, ok := b.lent[r.ID]
 	delete(b.lent, r.ID)
@@ -215,8 +291,8 @@
 	switch {
 	case !ok:
 	case l.keeper != nil:
-		l.keeper.Release(service, target, r)
+		l.keeper.Release(l.pool, r)
 	default:
-		b.peers.Release(l.address, &peerapi.ReleaseArgs{Service: service, Target: target, Report: r})
+		b.peers.Release(l.address, &peerapi.ReleaseArgs{Pool: l.pool, Report: r})
 	}
 }
--- /dev/null
+++ b/instance/broker_test.go
@@ -0,0 +1,58 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/transport/peers"
+)
+
+var _ = Describe("a broker", func() {
+	var (
+		board *view.Board
+		b     *broker
+	)
+
+	BeforeEach(func() {
+		self := view.Instance{ID: "i1.1", Address: "127.0.0.1:1", DataCentre: "dc0", Weight: 1}
+		board = view.NewBoard(clock.System{})
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, []view.Instance{self})
+		b = newBroker(self, clock.System{}, board, peers.NewClient(peers.Security{}), func(string, ...any) {})
+	})
+
+	list := func(change func(*view.Target)) {
+		t := view.Target{ID: "k1", Service: "keyed", Address: "a", DataCentre: "dc0", Slots: 2}
+		change(&t)
+		board.SetTargets(board.TargetsRead()+1, map[string]view.Target{"k1": t}, clock.System{}.Now())
+	}
+
+	// Symptom: a target gets a request 2.9 s after it said that it leaves.
+	// Sequence: the instance that has the request is short of processor time, and has not heard
+	// of it yet; its keeper has. Cause: the keeper gave it a permit all the same.
+	It("hands out no slot of a target that is known to have been leaving for long", func() {
+		ask := permit.Ask{ID: "1", Service: "keyed", Target: "k1", Rule: "r", AimLeft: time.Second, Left: time.Second}
+		list(func(t *view.Target) { t.Draining = true })
+		_, err := b.Acquire(context.Background(), ask)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(view.LeaveAfter + 50*time.Millisecond)
+		ask.ID = "2"
+		_, err = b.Acquire(context.Background(), ask)
+		Expect(err).To(MatchError(ContainSubstring(permit.ReasonNoTarget)))
+	})
+
+	It("finds the same keeper for a group from any list of the same instances", func() {
+		many := []view.Instance{{ID: "a", DataCentre: "dc1", Weight: 0.2}, {ID: "b", DataCentre: "dc0", Weight: 0.2}, {ID: "c", DataCentre: "dc0", Weight: 0.8}}
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, many)
+		id := permit.PoolID{Service: "plain", Group: "dc0/1"}
+		first := b.keeper(id, "dc0")
+		Expect(first.DataCentre).To(Equal("dc0"))
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 3}, []view.Instance{many[2], many[0], many[1]})
+		Expect(b.keeper(id, "dc0")).To(Equal(first))
+	})
+})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -318,8 +318,8 @@
 // Release implements peers.Backend.
 func (b *peerBackend) Release(args *peerapi.ReleaseArgs) {
 	if args.Abandon {
-		b.broker.kept.Abandon(args.Service, args.Target, args.Report.ID)
+		b.broker.kept.Abandon(args.Pool, args.Report.ID)
 		return
 	}
-	b.broker.kept.Release(args.Service, args.Target, args.Report)
+	b.broker.kept.Release(args.Pool, args.Report)
 }
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -108,8 +108,7 @@
 
 // ReleaseArgs gives a permit back, or withdraws an ask that is still waiting.
 type ReleaseArgs struct {
-	Service string
-	Target  string
+	Pool    permit.PoolID
 	Abandon bool
 	Report  permit.Report
 }
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -27,6 +27,11 @@
 	// lostRetry is when a caller should come back for a key whose owner was lost. Most of
 	// such keys are served again within a hold and the time to notice.
 	lostRetry = time.Second
+	// refusedRetry is when a caller should come back after its target refused the request
+	// although it had a slot free, and it could not be sent again within the budget. Where
+	// targets refuse half of what they get, a caller that comes back at once is still served
+	// within its aim.
+	refusedRetry = 100 * time.Millisecond
 	// moveWait bounds the wait for a key that changes hands. The former owner's running
 	// work has to end first.
 	moveWait = 1500 * time.Millisecond
@@ -179,7 +184,7 @@
 		if err != nil {
 			return c.truthful(c.refused(wait, err))
 		}
-		res, again := c.try(ctx, wait, target, p)
+		res, again := c.try(ctx, wait, p)
 		if !again {
 			return c.truthful(res)
 		}
@@ -210,7 +215,7 @@
 		}
 		r := m.Find(c.key)
 		c.mapAt = m.Version
-		if owner, known := c.snapshot.Targets[r.Owner]; r.Served() && known && !c.left(owner) {
+		if owner, known := c.snapshot.Targets[r.Owner]; r.Served() && known && !owner.Left(c.h.clock.Now()) {
 			return r.Owner, result{}, true
 		}
 		if r.Lost || r.Owner == "" {
@@ -227,16 +232,6 @@
 	}
 }
 
-// leaveAfter is how long after it was known to be draining a target is still sent to. It must
-// get nothing 2 s after it said so; the news takes up to 1.5 s while the leading instance
-// changes.
-const leaveAfter = 400 * time.Millisecond
-
-// left reports whether a target has been draining for so long that it may have ended.
-func (c *call) left(t view.Target) bool {
-	return t.Draining && c.h.clock.Now().Sub(t.DrainingAt) > leaveAfter
-}
-
 // await waits for news, for at most the given time.
 func (c *call) await(ctx context.Context, most time.Duration) {
 	begun := time.Now()
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -126,7 +126,7 @@
 	return permit.Permit{ID: ask.ID, Target: target}, nil
 }
 
-func (p *permits) Release(_, _ string, r permit.Report) {
+func (p *permits) Release(r permit.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reports = append(p.reports, r)
@@ -268,7 +268,7 @@
 		list := map[string]view.Target{"k1": {ID: "k1", Service: "keyed", Address: "k1", Slots: 2, Draining: true}}
 		f.board.SetTargets(2, list, now)
 		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
-		time.Sleep(leaveAfter + 50*time.Millisecond)
+		time.Sleep(view.LeaveAfter + 50*time.Millisecond)
 		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
 	})
 
@@ -280,7 +280,7 @@
 		f.permits.before = func() {
 			now := clock.System{}.Now()
 			f.board.SetTargets(2, map[string]view.Target{"k1": {ID: "k1", Service: "keyed", Address: "k1", Slots: 2, Draining: true}}, now)
-			time.Sleep(leaveAfter + 50*time.Millisecond)
+			time.Sleep(view.LeaveAfter + 50*time.Millisecond)
 		}
 		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
 		Expect(f.up.tries).To(BeEmpty())
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -21,7 +21,7 @@
 // Permits hands out the slots of targets.
 type Permits interface {
 	Acquire(ctx context.Context, ask permit.Ask) (permit.Permit, error)
-	Release(service, target string, r permit.Report)
+	Release(r permit.Report)
 }
 
 // Upstream sends requests to targets.
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -15,11 +15,11 @@
 
 // try sends the request to the target of the permit, and decides whether there is to be
 // another try. The work at the target ends with ctx, waits end with wait.
-func (c *call) try(ctx, wait context.Context, target string, p permit.Permit) (result, bool) {
+func (c *call) try(ctx, wait context.Context, p permit.Permit) (result, bool) {
 	t, known := c.h.board.Load().Targets[p.Target]
-	if !known || c.left(t) {
+	if !known || t.Left(c.h.clock.Now()) {
 		// The permit may have been awaited for long.
-		c.h.permits.Release(c.service.Name, target, c.report(p, permit.Dropped, 0))
+		c.h.permits.Release(c.report(p, permit.Dropped, 0))
 		c.tries++
 		c.await(wait, lookAgain)
 		return notRun("no-target", lostRetry), c.tries < maxTries && wait.Err() == nil
@@ -30,7 +30,7 @@
 	took := time.Since(begun)
 	c.targets = append(c.targets, t.ID)
 	c.lastErr = err
-	c.h.permits.Release(c.service.Name, target, c.report(p, outcomeOf(ctx, answer, err), took))
+	c.h.permits.Release(c.report(p, outcomeOf(ctx, answer, err), took))
 	if err == nil && answer.Status < http.StatusInternalServerError {
 		c.h.collector.Answered(t.ID, c.decision.Rule.Name, took)
 	}
@@ -119,7 +119,7 @@
 	if ctx.Err() != nil {
 		return c.timedOut(), false
 	}
-	return notRun("target-refused", lostRetry/2), c.mayRepeat(ctx)
+	return notRun("target-refused", refusedRetry), c.mayRepeat(ctx)
 }
 
 // mayRepeat reports whether the request may be sent once more: within the rule's attempts,
