Read at once at the start; let the next process at the leader's address lead at once

Cause: after a loss of power early instances waited up to 0.8 s for seeds that started last, and nobody led for 2 s, as the lease of the ended process was waited for. Ruled out: the hold of grants (targets lived); reading by the followers (20 ms). Change: an instance that knows nothing reads for itself; a lease whose holder listened at this instance's own address is taken without waiting, since that process has ended. Test: the lease of a process that has ended (fails without).

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -197,7 +197,7 @@
 	if c.term != nil || relay && c.lastSync == clock.Never {
 		return true
 	}
-	return c.storeOK && c.lookedAt != clock.Never && now.Sub(c.board.KnownAt()) > staleAfter
+	return c.storeOK && now.Sub(c.board.KnownAt()) > staleAfter
 }
 
 // readRules keeps the configuration current while that is this instance's business.
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -36,11 +36,6 @@
 	silentFor = 2 * time.Second
 	// relayTries bounds the relays asked in a row before an instance looks for itself.
 	relayTries = 2
-	// startWait is how long an instance that has just started waits for the seeds to answer:
-	// they may be starting at the same moment.
-	startWait = 600 * time.Millisecond
-	// startPause is the time between its questions.
-	startPause = 100 * time.Millisecond
 )
 
 // relays returns the addresses of the instances that read for all while nobody leads, this
@@ -86,7 +81,9 @@
 // something current; otherwise this instance must look for itself.
 func (c *Coordinator) askRelay(ctx context.Context) bool {
 	relays := c.relays()
-	if len(relays) == 0 || slices.Contains(relays, c.config.Self.Address) {
+	if len(relays) == 0 || slices.Contains(relays, c.config.Self.Address) || c.board.KnownAt() == clock.Never {
+		// One that has just started reads for itself: after a loss of power the seeds may be
+		// the last to be back, and waiting for them cost callers up to 0.8 s.
 		return false
 	}
 	first := int(xxhash.Sum64String(c.config.Self.ID) % uint64(len(relays)))
@@ -101,10 +98,6 @@
 			return true
 		}
 	}
-	if c.board.KnownAt() == clock.Never && c.clock.Now().Sub(c.started) < startWait {
-		sleep(ctx, startPause)
-		return true
-	}
 	return false
 }
 
@@ -143,15 +136,11 @@
 	return true
 }
 
-// noteSilent notes that a relay did not answer. During the start the seeds may not listen
-// yet, and are asked again soon.
+// noteSilent notes that a relay did not answer.
 func (c *Coordinator) noteSilent(address string, err error) {
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.started) < startWait {
-		return
-	}
 	c.silent[address] = now
 	c.log("relay-silent", "address", address, "error", err.Error())
 }
--- a/coordination/lead/relay_test.go
+++ b/coordination/lead/relay_test.go
@@ -47,6 +47,26 @@
 	return nil, 0, store.ErrNotDone
 }
 
+// leaseStore holds the row of the lease.
+type leaseStore struct {
+	darkStore
+	row     lease.Row
+	version uint64
+}
+
+func (s *leaseStore) Scan(context.Context, string, string) ([]store.Row, uint64, error) {
+	text, err := s.row.Encode()
+	return []store.Row{{ID: store.ID{Table: table, Part: part, Key: leaseKey}, Value: text, Version: s.version}}, s.version, err
+}
+
+func (s *leaseStore) Commit(_ context.Context, txn store.Txn) (uint64, error) {
+	if txn.Expect[0].Version != s.version {
+		return 0, &store.ConflictError{}
+	}
+	s.version++
+	return s.version, nil
+}
+
 // fleet makes coordinators that know one another and some targets.
 func fleet(count int) (list []view.Instance, all directory, s *darkStore) {
 	s = &darkStore{}
@@ -67,6 +87,27 @@
 	return list, all, s
 }
 
+var _ = Describe("the lease of a process that has ended", func() {
+	take := func(holder, address string) *term {
+		s := &leaseStore{row: lease.Row{Holder: holder, Address: address, Term: 3}, version: 9}
+		c := New(Config{Self: view.Instance{ID: "i1.2", Address: "a1", Weight: 1}}, clock.System{}, s, view.NewBoard(clock.System{}), nil, nil, demand.NewCollector(), quiet)
+		t, err := c.lookAtLease(context.Background(), true)
+		Expect(err).NotTo(HaveOccurred())
+		return t
+	}
+
+	// Symptom: nobody leads for 2 s after all instances were killed and started again.
+	// Sequence: the former leader starts again, finds its own former lease and waits for it.
+	// Cause: the lease was taken for that of another instance.
+	It("is taken at once by the next process at its address", func() {
+		Expect(take("i1.1", "a1")).NotTo(BeNil())
+	})
+
+	It("is waited for by all others", func() {
+		Expect(take("i2.1", "a2")).To(BeNil())
+	})
+})
+
 var _ = Describe("relays", func() {
 	It("are the same few for all, without the leader that was lost", func() {
 		list, _, _ := fleet(20)
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -68,7 +68,7 @@
 	c.mu.Lock()
 	c.observer.Saw(s.leaseVersion, s.lease.Vacant, c.clock.Now())
 	c.lookedAt = begun
-	free := c.observer.MayTake(begun)
+	free := c.observer.MayTake(begun) || c.succeeds(s.lease)
 	// A write of ours whose answer was lost may have taken effect after all.
 	ours := s.lease.Holder == c.config.Self.ID
 	if !free && !ours {
@@ -83,6 +83,14 @@
 	return c.bid(ctx, s), nil
 }
 
+// succeeds reports whether the holder of the lease is a former process at this instance's
+// address. It has ended, since this one listens there, and does nothing under the lease any
+// more; waiting for the lease to run out would leave nobody in charge for 2 s after all
+// instances were started anew.
+func (c *Coordinator) succeeds(row lease.Row) bool {
+	return row.Address == c.config.Self.Address && row.Holder != c.config.Self.ID
+}
+
 // bidDelay is how long an instance with a part of a core holds its bid back.
 func bidDelay(weight float64) time.Duration {
 	if weight >= 1 {
