--- /dev/null
+++ b/coordination/lead/follow.go
@@ -0,0 +1,194 @@
+package lead
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/lease"
+	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/peerapi"
+)
+
+// follow reports to the leading instance, and takes the lease when it is free.
+func (c *Coordinator) follow(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		address := c.leader.Address
+		leaving := c.leaving
+		c.mu.Unlock()
+		if address != "" && address != c.config.Self.Address && c.report(ctx, address, leaving) {
+			continue
+		}
+		if c.askRelay(ctx) {
+			continue
+		}
+		t, err := c.lookAtLease(ctx, !leaving)
+		if t == nil {
+			look := c.shared(leaseLookEvery)
+			sleep(ctx, c.spared(pause.after(err, look/2+rand.N(look/2)), err))
+			continue
+		}
+		t.run(ctx)
+		c.mu.Lock()
+		c.term = nil
+		c.leader = lease.Row{}
+		c.lost = c.config.Self.ID
+		c.mu.Unlock()
+	}
+}
+
+// report makes one report, and reports whether the other instance leads.
+func (c *Coordinator) report(ctx context.Context, address string, leaving bool) bool {
+	args := c.question()
+	args.Leaving = leaving
+	args.Work, args.Pace = c.collector.Drain()
+	begun := c.clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	reply, err := c.peers.Sync(callCtx, address, args)
+	cancel()
+	if err != nil || !reply.Leading {
+		c.noteLeaderLost(address, err)
+		return false
+	}
+	c.followed()
+	if !c.adopt(begun, reply) {
+		// The leading instance has not read yet what is known here; it will, within pollEvery.
+		sleep(ctx, pollEvery/4)
+	}
+	return true
+}
+
+// question asks for what is newer than what is known here.
+func (c *Coordinator) question() *peerapi.SyncArgs {
+	snapshot := c.board.Load()
+	args := &peerapi.SyncArgs{
+		Self: c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
+		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
+	}
+	for service, m := range snapshot.Maps {
+		args.MapVersions[service] = m.Version
+	}
+	return args
+}
+
+// followed notes that the leading instance answered.
+func (c *Coordinator) followed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastSync == clock.Never {
+		c.log("leader-followed", "leader", c.leader.Holder, "term", c.leader.Term)
+	}
+	c.lastSync = c.clock.Now()
+	c.lost = ""
+}
+
+// setLeader notes who holds the lease; the zero row: nobody that is known. The caller holds
+// the lock.
+func (c *Coordinator) setLeader(row lease.Row) {
+	c.leader = row
+	if tells(row, c.lost) {
+		close(c.leaderKnown)
+		c.leaderKnown = make(chan struct{})
+	}
+}
+
+func (c *Coordinator) noteLeaderLost(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = c.leader.Holder
+	c.leader = lease.Row{}
+	if c.lastSync == clock.Never {
+		return
+	}
+	c.lastSync = clock.Never
+	reason := "does not lead any more"
+	if err != nil {
+		reason = err.Error()
+	}
+	c.log("leader-lost", "address", address, "reason", reason, "lease", c.observer.Version())
+}
+
+// adopt takes over what another instance told. It reports whether that was as new as what is
+// known here.
+func (c *Coordinator) adopt(begun clock.Instant, reply *peerapi.SyncReply) bool {
+	now := c.clock.Now()
+	c.mu.Lock()
+	c.observer.Saw(reply.Lease, false, now)
+	c.mu.Unlock()
+	// What was confirmed had been read Age before the answer left. The way back may have
+	// taken all of the time that was not spent waiting.
+	travel := max(0, now.Sub(begun)-reply.Held)
+	at := now.Add(-reply.Age - travel)
+	c.adoptRules(reply, at)
+	taken := c.adoptTargets(reply, at)
+	for service, news := range reply.Maps {
+		c.adoptMap(service, news)
+	}
+	if reply.Instances != nil {
+		c.board.SetInstances(reply.InstancesVersion, reply.Instances)
+	}
+	c.told.remember(c.board.Load())
+	return taken
+}
+
+func (c *Coordinator) adoptRules(reply *peerapi.SyncReply, at clock.Instant) {
+	if reply.RulesText == nil {
+		c.board.ConfirmRules(at)
+		return
+	}
+	version, set, err := c.config.Source.DecodeRules(reply.RulesText)
+	if err != nil {
+		c.log("rules-refused", "error", err.Error(), "from", "leader")
+		return
+	}
+	if c.board.SetRules(version, set, reply.RulesText, at) {
+		c.log("rules-adopted", "rules", version, "from", "leader", "age_ms", c.clock.Now().Sub(at).Milliseconds())
+	}
+}
+
+// adoptTargets takes over the targets that another instance believes. It reports whether they
+// were taken: not from one that has read less than this instance.
+func (c *Coordinator) adoptTargets(reply *peerapi.SyncReply, at clock.Instant) bool {
+	snapshot := c.board.Load()
+	if reply.TargetsDigest == snapshot.TargetsDigest {
+		c.board.ConfirmTargets(at)
+		return true
+	}
+	list := map[string]view.Target{}
+	if !reply.TargetsWhole {
+		if reply.TargetsFrom != snapshot.TargetsDigest {
+			return false
+		}
+		maps.Copy(list, snapshot.Targets)
+	}
+	for _, t := range reply.Targets {
+		list[t.ID] = t
+	}
+	for _, id := range reply.TargetsGone {
+		delete(list, id)
+	}
+	return c.board.AdoptTargets(reply.TargetsRead, list, at)
+}
+
+// adoptMap takes over a map of the leading instance's. One that cannot be made out of the
+// one known here is read from the store, or told as a whole the next time.
+func (c *Coordinator) adoptMap(service string, news peerapi.MapNews) {
+	base := keyrange.Empty()
+	if news.From != 0 {
+		base = c.board.Load().Maps[service]
+		if base == nil || base.Version != news.From {
+			return
+		}
+	}
+	m, err := base.Patch(news.Version, slices.Clone(news.Changed))
+	if err != nil {
+		c.log("map-refused", "service", service, "error", err.Error())
+		return
+	}
+	c.board.SetMap(service, m)
+}
--- /dev/null
+++ b/coordination/lead/poll.go
@@ -0,0 +1,69 @@
+package lead
+
+import (
+	"context"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+// reads reports whether this instance has to read the store itself. While nobody leads
+// relays do so for all. Another one whose knowledge is old reads too, but only when the
+// store has answered the look at the lease: each refused call of 90 instances is paid for.
+func (c *Coordinator) reads() bool {
+	relay := c.isRelay()
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != nil || relay && c.lastSync == clock.Never {
+		return true
+	}
+	return c.storeOK && now.Sub(c.board.KnownAt()) > staleAfter
+}
+
+// readRules keeps the configuration current while that is this instance's business.
+func (c *Coordinator) readRules(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		if !c.reads() {
+			sleep(ctx, pollEvery/4)
+			continue
+		}
+		wait := rulesWait
+		if c.reader.rulesNext == 0 {
+			wait = 0
+		}
+		err := c.reader.readRules(ctx, wait)
+		c.noteStore(err)
+		sleep(ctx, pause.after(err, 0))
+	}
+}
+
+// readTargets keeps the registry current while that is this instance's business.
+func (c *Coordinator) readTargets(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		if !c.reads() {
+			sleep(ctx, pollEvery/4)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := c.reader.readTargets(callCtx)
+		cancel()
+		c.noteStore(err)
+		sleep(ctx, pause.after(err, c.pollPause()))
+	}
+}
+
+// noteStore logs when the store is lost and when it is back.
+func (c *Coordinator) noteStore(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ok := err == nil; ok != c.storeOK {
+		c.storeOK = ok
+		if ok {
+			c.log("store-back")
+		} else {
+			c.log("store-lost", "error", err.Error())
+		}
+	}
+}
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
-	"lycheehall.example/lycheehall/clock"
-	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 )
@@ -101,45 +97,3 @@
 	}
 	return reply
 }
-
-// adoptTargets takes over the targets that another instance believes. It reports whether they
-// were taken: not from one that has read less than this instance.
-func (c *Coordinator) adoptTargets(reply *peerapi.SyncReply, at clock.Instant) bool {
-	snapshot := c.board.Load()
-	if reply.TargetsDigest == snapshot.TargetsDigest {
-		c.board.ConfirmTargets(at)
-		return true
-	}
-	list := map[string]view.Target{}
-	if !reply.TargetsWhole {
-		if reply.TargetsFrom != snapshot.TargetsDigest {
-			return false
-		}
-		maps.Copy(list, snapshot.Targets)
-	}
-	for _, t := range reply.Targets {
-		list[t.ID] = t
-	}
-	for _, id := range reply.TargetsGone {
-		delete(list, id)
-	}
-	return c.board.AdoptTargets(reply.TargetsRead, list, at)
-}
-
-// adoptMap takes over a map of the leading instance's. One that cannot be made out of the
-// one known here is read from the store, or told as a whole the next time.
-func (c *Coordinator) adoptMap(service string, news peerapi.MapNews) {
-	base := keyrange.Empty()
-	if news.From != 0 {
-		base = c.board.Load().Maps[service]
-		if base == nil || base.Version != news.From {
-			return
-		}
-	}
-	m, err := base.Patch(news.Version, slices.Clone(news.Changed))
-	if err != nil {
-		c.log("map-refused", "service", service, "error", err.Error())
-		return
-	}
-	c.board.SetMap(service, m)
-}
