Tell changes of instances only; take the soak's ports where no connection is given them

Cause: at 300 machines the leading instance sent 13.5 MB a second: every follower was told the whole list of instances at each start of one, and all targets whose cold time had run on. Second: a soak seed failed at its start, traced to a port that had been given to an outgoing connection before the instance could listen on it (its log: address already in use). Ruled out for the first: maps (they go as changes already). Change: lists of instances go as changes since the version in the report; a rest of cold time is no change of a target. The soak takes ports below those for outgoing connections; the seed is a regression case. The line map-stored tells who has the first ranges that changed. Tests: told neither cold times nor whole lists; addresses no outgoing connection is given.

--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -1,9 +1,9 @@
 package lead
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
@@ -139,12 +139,26 @@
 
 // publish puts a stored map into force.
 func (t *term) publish(service string, m *keyrange.Map) {
+	changed := m.Diff(t.managers[service].Map())
 	t.managers[service].Stored(m)
 	t.c.board.SetMap(service, m)
-	text, err := m.Encode()
-	if err == nil {
-		t.c.log("map-stored", "service", service, "map", m.Version, "ranges", len(m.Ranges), "text", string(bytes.TrimSpace(text[:min(len(text), 600)])))
+	t.c.log("map-stored", "service", service, "map", m.Version, "ranges", len(m.Ranges), "changed", len(changed), "first", describe(changed))
+}
+
+// describedRanges bounds the changed ranges that a line tells.
+const describedRanges = 8
+
+// describe tells who has the first of some ranges, and who gets them.
+func describe(changed []keyrange.Range) []string {
+	list := make([]string, 0, describedRanges)
+	for _, r := range changed[:min(describedRanges, len(changed))] {
+		text := fmt.Sprintf("%d-%d %s fence %d", r.From, r.To, r.Owner, r.Fence)
+		if r.Moving() {
+			text += fmt.Sprintf(" to %s fence %d", r.Next, r.NextFence)
+		}
+		list = append(list, text)
 	}
+	return list
 }
 
 // exitWait bounds the wait for the loop when the lease is given up.
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -56,7 +57,7 @@
 		return false
 	}
 	c.followed()
-	if !c.adopt(begun, reply) {
+	if !c.adopt(begun, args, reply) {
 		// The leading instance has not read yet what is known here; it will, within pollEvery.
 		sleep(ctx, pollEvery/4)
 	}
@@ -115,7 +116,7 @@
 
 // adopt takes over what another instance told. It reports whether that was as new as what is
 // known here.
-func (c *Coordinator) adopt(begun clock.Instant, reply *peerapi.SyncReply) bool {
+func (c *Coordinator) adopt(begun clock.Instant, args *peerapi.SyncArgs, reply *peerapi.SyncReply) bool {
 	now := c.clock.Now()
 	c.mu.Lock()
 	c.observer.Saw(reply.Lease, false, now)
@@ -129,9 +130,7 @@
 	for service, news := range reply.Maps {
 		c.adoptMap(service, news)
 	}
-	if reply.Instances != nil {
-		c.board.SetInstances(reply.InstancesVersion, reply.Instances)
-	}
+	c.adoptInstances(args, reply)
 	c.told.remember(c.board.Load())
 	return taken
 }
@@ -175,6 +174,27 @@
 	return c.board.AdoptTargets(reply.TargetsRead, list, at)
 }
 
+// adoptInstances takes over the list of instances, where the answer has a newer one.
+func (c *Coordinator) adoptInstances(args *peerapi.SyncArgs, reply *peerapi.SyncReply) {
+	if reply.InstancesVersion == (view.InstancesVersion{}) {
+		return
+	}
+	var list []view.Instance
+	if !reply.InstancesWhole {
+		snapshot := c.board.Load()
+		if snapshot.InstancesVersion != args.InstancesVersion {
+			// The changes are those since another list; the next answer has them.
+			return
+		}
+		list = slices.DeleteFunc(slices.Clone(snapshot.Instances), func(i view.Instance) bool {
+			return slices.Contains(reply.InstancesGone, i.ID) || slices.ContainsFunc(reply.Instances, func(j view.Instance) bool { return i.ID == j.ID })
+		})
+	}
+	list = append(list, reply.Instances...)
+	slices.SortFunc(list, func(a, b view.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	c.board.SetInstances(reply.InstancesVersion, list)
+}
+
 // adoptMap takes over a map of the leading instance's. One that cannot be made out of the
 // one known here is read from the store, or told as a whole the next time.
 func (c *Coordinator) adoptMap(service string, news peerapi.MapNews) {
--- a/coordination/lead/lead_test.go
+++ b/coordination/lead/lead_test.go
@@ -43,7 +43,7 @@
 		args.MapVersions[service] = m.Version
 	}
 	reply := leader.news(args, leader.board.Load())
-	follower.adopt(follower.clock.Now(), reply)
+	follower.adopt(follower.clock.Now(), args, reply)
 	return reply
 }
 
@@ -100,6 +100,44 @@
 		Expect(follower.board.KnownAt()).To(BeNumerically("<=", clock.System{}.Now()))
 	})
 
+	// Symptom: a leading instance of 300 sends 13 MB a second.
+	// Sequence: targets that have just started report the rest of their cold time with each
+	// heartbeat; another one joins. Cause: all of them counted as changed.
+	It("is not how long targets are cold still", func() {
+		now := clock.System{}.Now()
+		list := targets("a", "b", "c")
+		leader.board.SetTargets(5, list, now)
+		tell(leader, follower)
+		for id, t := range list {
+			t.Cold = time.Second
+			list[id] = t
+		}
+		list["d"] = view.Target{ID: "d", Service: "s", Address: "a-d", Slots: 2}
+		leader.board.SetTargets(6, list, now)
+		reply := tell(leader, follower)
+		Expect(reply.Targets).To(HaveLen(1))
+		Expect(follower.board.Load().TargetsDigest).To(Equal(leader.board.Load().TargetsDigest))
+	})
+
+	It("is which instances came and went", func() {
+		instances := func(count uint64, ids ...string) {
+			var list []view.Instance
+			for _, id := range ids {
+				list = append(list, view.Instance{ID: id, Address: id})
+			}
+			leader.board.SetInstances(view.InstancesVersion{Term: 1, Count: count}, list)
+		}
+		instances(1, "a", "b", "c")
+		Expect(tell(leader, follower).InstancesWhole).To(BeTrue())
+		instances(2, "a", "c", "d")
+		reply := tell(leader, follower)
+		Expect(reply.InstancesWhole).To(BeFalse())
+		Expect(reply.Instances).To(HaveLen(1))
+		Expect(reply.InstancesGone).To(Equal([]string{"b"}))
+		Expect(follower.board.Load().Instances).To(Equal(leader.board.Load().Instances))
+		Expect(tell(leader, follower).Instances).To(BeEmpty())
+	})
+
 	It("is what has changed in a map, and the whole map to one that is far behind", func() {
 		m := keyrange.Empty()
 		for i := range 3 * toldVersions {
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -126,7 +126,7 @@
 	if !reply.Leading && !reply.Current {
 		return false
 	}
-	taken := c.adopt(begun, reply)
+	taken := c.adopt(begun, args, reply)
 	c.mu.Lock()
 	c.setLeader(reply.Leader)
 	c.mu.Unlock()
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -92,8 +92,7 @@
 		}
 	}
 	if s.InstancesVersion.Compare(args.InstancesVersion) > 0 {
-		reply.InstancesVersion = s.InstancesVersion
-		reply.Instances = s.Instances
+		c.told.membership(reply, args.InstancesVersion, s)
 	}
 	return reply
 }
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -17,10 +17,12 @@
 // Telling 90 instances each map and list of 450 targets as a whole took 0.33 GB between data
 // centres in half a minute. Its lock is a leaf.
 type told struct {
-	mu     sync.Mutex
-	lists  []toldTargets
-	maps   map[string][]*keyrange.Map
-	differ map[diffKey][]keyrange.Range
+	mu    sync.Mutex
+	lists []toldTargets
+	// instances are the lists of instances, oldest first.
+	instances []toldInstances
+	maps      map[string][]*keyrange.Map
+	differ    map[diffKey][]keyrange.Range
 }
 
 type toldTargets struct {
@@ -28,6 +30,11 @@
 	list   map[string]view.Target
 }
 
+type toldInstances struct {
+	version view.InstancesVersion
+	list    []view.Instance
+}
+
 type diffKey struct {
 	service  string
 	from, to uint64
@@ -41,6 +48,10 @@
 		t.lists = append(t.lists, toldTargets{s.TargetsDigest, s.Targets})
 		t.lists = t.lists[max(0, len(t.lists)-toldVersions):]
 	}
+	if n := len(t.instances); n == 0 || t.instances[n-1].version != s.InstancesVersion {
+		t.instances = append(t.instances, toldInstances{s.InstancesVersion, s.Instances})
+		t.instances = t.instances[max(0, len(t.instances)-toldVersions):]
+	}
 	if t.maps == nil {
 		t.maps = map[string][]*keyrange.Map{}
 	}
@@ -67,7 +78,7 @@
 	reply.TargetsFrom = since
 	reply.TargetsWhole = before == nil
 	for id, target := range s.Targets {
-		if old, known := before[id]; !known || old != target {
+		if old, known := before[id]; !known || !old.Same(target) {
 			reply.Targets = append(reply.Targets, target)
 		}
 	}
@@ -78,6 +89,34 @@
 	}
 }
 
+// membership puts into a reply what has changed among the instances since a version. With
+// 300 instances a whole list for each of them at each start of one was most of what a leading
+// instance sent.
+func (t *told) membership(reply *peerapi.SyncReply, since view.InstancesVersion, s *view.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reply.InstancesVersion = s.InstancesVersion
+	reply.InstancesWhole = true
+	before := map[string]view.Instance{}
+	for _, l := range t.instances {
+		if l.version == since && since != (view.InstancesVersion{}) {
+			reply.InstancesWhole = false
+			for _, i := range l.list {
+				before[i.ID] = i
+			}
+		}
+	}
+	for _, i := range s.Instances {
+		if before[i.ID] != i {
+			reply.Instances = append(reply.Instances, i)
+		}
+		delete(before, i.ID)
+	}
+	for id := range before {
+		reply.InstancesGone = append(reply.InstancesGone, id)
+	}
+}
+
 // mapNews returns what has changed in a map since a version. Followers mostly ask from the
 // same one, so that differences are kept.
 func (t *told) mapNews(service string, since uint64, m *keyrange.Map) peerapi.MapNews {
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -243,16 +243,9 @@
 	return false
 }
 
-// sameTargets compares what decides where requests go. The rest of a cold time changes with
-// every heartbeat and matters only at the start.
-func sameTargets(a, b map[string]Target) bool {
-	return maps.EqualFunc(a, b, func(x, y Target) bool {
-		x.Cold, y.Cold = 0, 0
-		return x == y
-	})
-}
+func sameTargets(a, b map[string]Target) bool { return maps.EqualFunc(a, b, Target.Same) }
 
-// digest combines what sameTargets compares of each target.
+// digest combines what Target.Same compares of each target.
 func digest(targets map[string]Target) uint64 {
 	sum := uint64(0)
 	for _, t := range targets {
--- a/coordination/view/target.go
+++ b/coordination/view/target.go
@@ -24,6 +24,15 @@
 	Cold time.Duration
 }
 
+// Same reports whether two entries are the same in what decides where requests go. The rest of
+// a cold time changes with every heartbeat, and when a target was found to be draining differs
+// between instances.
+func (t Target) Same(u Target) bool {
+	t.Cold, u.Cold = 0, 0
+	t.DrainingAt, u.DrainingAt = 0, 0
+	return t == u
+}
+
 // LeaveAfter is how long after it was known to be draining a target is still sent to. It must
 // get nothing 2 s after it said so; the news takes up to 1.5 s while the leading instance
 // changes.
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -79,8 +79,13 @@
 	// Maps are the maps that are newer than those in the report.
 	Maps map[string]MapNews
 
+	// InstancesVersion is given when it is newer than the one in the report, with the instances
+	// that are new or changed since then and the ids of those that are gone. InstancesWhole
+	// says that they are all.
 	InstancesVersion view.InstancesVersion
 	Instances        []view.Instance
+	InstancesGone    []string
+	InstancesWhole   bool
 	// Lamport is the sender's time of the time line.
 	Lamport uint64
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -101,14 +103,31 @@
 	Plant string
 }
 
-// freeAddress returns a loopback address that nobody listens on now.
+// Addresses are taken below the ports that the system gives to outgoing connections. One of
+// those may be given away between the choice and the start of its process, or while its process
+// is down, and the process then cannot listen.
+const (
+	firstPort = 12000
+	endPort   = 32000
+)
+
+// lastPort is the port that was taken last by this process.
+var lastPort atomic.Int64
+
+// freeAddress returns a loopback address that nobody listens on now, and that it has not
+// returned before.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
+	lastPort.CompareAndSwap(0, firstPort+rand.Int64N(endPort-firstPort))
+	var err error
+	for range endPort - firstPort {
+		port := firstPort + lastPort.Add(1)%(endPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("soak: no port is free: %w", err)
 }
 
 // NewFleet starts a deployment with the programs in a folder. Logs and records go to dir.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os/exec"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,7 +23,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{1796249298, "an instance could not listen: its port had been given to an outgoing connection"},
+}
 
 func build() string {
 	GinkgoHelper()
@@ -50,6 +53,22 @@
 		Expect(result.Counts[Answered]).To(BeNumerically(">", 200))
 	})
 
+	// Symptom: an instance of the soak does not serve, its log says that its address is in use.
+	// Sequence: a port of those for outgoing connections is chosen, and given to one before the
+	// instance starts.
+	It("chooses addresses that no outgoing connection is given", func() {
+		seen := map[string]bool{}
+		for range 200 {
+			address, err := freeAddress()
+			Expect(err).NotTo(HaveOccurred())
+			_, port, err := net.SplitHostPort(address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strconv.Atoi(port)).To(BeNumerically("<", endPort))
+			Expect(seen[address]).To(BeFalse())
+			seen[address] = true
+		}
+	})
+
 	It("finds nothing wrong on seeds that have failed", func() {
 		programs := build()
 		for _, r := range regressions {
