--- a/coordination/assign/assign_test.go
+++ b/coordination/assign/assign_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	ginkgo "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"lycheehall.example/lycheehall/clock"
--- a/coordination/assign/schedules_test.go
+++ b/coordination/assign/schedules_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	ginkgo "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"lycheehall.example/lycheehall/clock"
