--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	cause string
 }{
 	{1796249298, "an instance could not listen: its port had been given to an outgoing connection"},
+	{1796249324, "the same"},
 }
 
 func build() string {
