Read again where a call failed long ago; bid later while targets are kept that may be gone

Ruled out: slow machines (knowledge of the others was 0.2 to 0.7 s old), late requests. Change: failed calls are remembered for a pause only; an instance that keeps targets which the registry lacks holds its bid back for 0.5 s. Tests: both fail without their change (the first: reads stays false; the second: no such word).

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -70,9 +70,11 @@
 	// leader is the last known holder of the lease.
 	leader lease.Row
 	// term is this instance's leadership, nil while it follows.
-	term     *term
-	leaving  bool
-	storeOK  bool
+	term    *term
+	leaving bool
+	storeOK bool
+	// failedAt is when a call to the store failed last.
+	failedAt clock.Instant
 	lastSync clock.Instant
 	// lost is the holder that was found not to lead any more.
 	lost string
--- a/coordination/lead/pace.go
+++ b/coordination/lead/pace.go
@@ -46,6 +46,10 @@
 	// after all had been started anew.
 	bidSpread  = 50 * time.Millisecond
 	longestBid = 300 * time.Millisecond
+	// keepingBid holds back the bid of an instance that keeps targets which the registry lacks.
+	// It may have missed that they left; one that has read all the while tells better, and is
+	// through with its bid by then.
+	keepingBid = 500 * time.Millisecond
 )
 
 // shared stretches a pause that many instances make beside each other.
--- a/coordination/lead/poll.go
+++ b/coordination/lead/poll.go
@@ -8,16 +8,20 @@
 
 // reads reports whether this instance has to read the store itself. While nobody leads
 // relays do so for all. Another one whose knowledge is old reads too, but only when the
-// store has answered the look at the lease: each refused call of 90 instances is paid for.
+// store answers, or may do so again: each refused call of 90 instances is paid for.
 func (c *Coordinator) reads() bool {
 	relay := c.isRelay()
+	pause := min(longestLook, c.shared(failedMost))
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.term != nil || relay && c.lastSync == clock.Never {
 		return true
 	}
-	return c.storeOK && now.Sub(c.board.KnownAt()) > staleAfter
+	// A call that failed long ago says nothing: one that follows makes none, and would not
+	// notice that its leading instance has been cut off.
+	answers := c.storeOK || now.Sub(c.failedAt) >= pause
+	return answers && now.Sub(c.board.KnownAt()) > staleAfter
 }
 
 // readRules keeps the configuration current while that is this instance's business.
@@ -58,6 +62,9 @@
 func (c *Coordinator) noteStore(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.failedAt = c.clock.Now()
+	}
 	if ok := err == nil; ok != c.storeOK {
 		c.storeOK = ok
 		if ok {
--- a/coordination/lead/relay_test.go
+++ b/coordination/lead/relay_test.go
@@ -108,6 +108,27 @@
 	})
 })
 
+var _ = Describe("reading the store", func() {
+	// Symptom: a target gets a request 2.06 s after it left. Sequence: the leading instance is
+	// cut off from the store; a follower to which the store once did not answer goes on
+	// following, without a reading of its own for 2.5 s, and leads next.
+	// Cause: nothing but a look at the lease made it try the store again, and one that follows
+	// does not look.
+	It("is tried again by a follower with old knowledge, also where it failed before", func() {
+		_, all, _ := fleet(5)
+		for _, c := range all {
+			now := c.clock.Now()
+			c.lastSync = now
+			c.storeOK = false
+			c.failedAt = now
+			c.board = view.NewBoard(c.clock)
+			Expect(c.reads()).To(BeFalse())
+			c.failedAt = now.Add(-time.Minute)
+			Expect(c.reads()).To(BeTrue())
+		}
+	})
+})
+
 var _ = Describe("relays", func() {
 	It("are the same few for all, without the leader that was lost", func() {
 		list, _, _ := fleet(20)
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -101,6 +101,9 @@
 
 func (c *Coordinator) bid(ctx context.Context, s *stored) *term {
 	sleep(ctx, bidDelay(c.config.Self.Weight))
+	if c.board.Keeping() {
+		sleep(ctx, keepingBid)
+	}
 	row := lease.Row{Holder: c.config.Self.ID, Address: c.config.Self.Address, Term: s.lease.Term + 1}
 	text, err := row.Encode()
 	if err != nil {
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -74,6 +74,8 @@
 	// targetsAt and rulesAt are when the registry and the configuration were current.
 	targetsAt clock.Instant
 	rulesAt   clock.Instant
+	// keeping says that targets are believed which the last reading lacked.
+	keeping bool
 	// steadySince is since when the registry has been read without interruption.
 	steadySince clock.Instant
 }
@@ -152,6 +154,7 @@
 		return false
 	}
 	b.targetsRead = version
+	b.keeping = false
 	b.readAt(at)
 	b.replaceTargets(b.sinceWhen(b.current.Load().Targets, list))
 	return true
@@ -207,15 +210,25 @@
 func (b *Board) believe(old, list map[string]Target) map[string]Target {
 	believed := b.sinceWhen(old, list)
 	settled := b.targetsAt.Sub(b.steadySince) >= goneAfter
+	b.keeping = false
 	for id, t := range old {
 		if _, listed := list[id]; listed || settled || addressTaken(old, list, t) {
 			continue
 		}
 		believed[id] = t
+		b.keeping = true
 	}
 	return believed
 }
 
+// Keeping reports whether targets are believed that the last reading of the registry here did
+// not list, since they may have lapsed only.
+func (b *Board) Keeping() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.keeping
+}
+
 // sinceWhen returns a copy of a list with the times since when targets have been draining.
 func (b *Board) sinceWhen(old, list map[string]Target) map[string]Target {
 	out := maps.Clone(list)
--- a/coordination/view/board_test.go
+++ b/coordination/view/board_test.go
@@ -56,6 +56,22 @@
 		Expect(believed("x")).To(BeFalse())
 	})
 
+	// Symptom: targets that left are sent to again. Sequence: an instance that did not read for
+	// 2 s keeps what the registry lacks; it leads next, and all others adopt that from it.
+	// Cause: it did not know, nor say, that others know better.
+	It("says while it keeps targets that the registry lacks", func() {
+		read(time.Second, "x", "y")
+		Expect(b.Keeping()).To(BeFalse())
+		read(4*time.Second, "y")
+		Expect(believed("x")).To(BeTrue())
+		Expect(b.Keeping()).To(BeTrue())
+		for at := 4400 * time.Millisecond; at <= 7*time.Second; at += 400 * time.Millisecond {
+			read(at, "y")
+		}
+		Expect(believed("x")).To(BeFalse())
+		Expect(b.Keeping()).To(BeFalse())
+	})
+
 	// Symptom: sound targets get nothing after an outage. Sequence: the store is away for
 	// 5 s, entries lapse; it is back, and targets are listed again within two seconds.
 	// Cause: a missing entry was taken for a target that is gone.
