Keep a route that cannot be used to itself

Cause: one route with an unknown kind, a time without a unit or a service that is not there refused the whole configuration; with no earlier one nothing at all was served. Ruled out: ignoring such a route, after which its requests go to the route with the next shorter prefix, a service that has nothing to do with them, or are told 404. Two routes or services of one name still refuse the whole.

--- a/cmd/lycheehall/operate.go
+++ b/cmd/lycheehall/operate.go
@@ -45,6 +45,9 @@
 		return printJSON(s)
 	}
 	fmt.Printf("as seen by %s: leader %s, term %d, rules %d, known %d ms ago\n", s.Instance, s.Leader, s.Term, s.Rules, s.KnownMs)
+	for _, note := range s.NotUnderstood {
+		fmt.Printf("not understood, its callers are refused: %s\n", note)
+	}
 	for _, i := range s.Instances {
 		if i.Missing {
 			fmt.Printf("instance %-32s no answer\n", i.ID)
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -147,6 +147,7 @@
 	}
 	if c.board.SetRules(version, set, reply.RulesText, at) {
 		c.log("rules-adopted", "rules", version, "from", "leader", "age_ms", c.clock.Now().Sub(at).Milliseconds())
+		tellNotes(c.log, version, set)
 	}
 }
 
--- a/instance/operate.go
+++ b/instance/operate.go
@@ -125,6 +125,9 @@
 	if s.Rules == nil {
 		return status
 	}
+	for _, note := range s.Rules.Notes() {
+		status.NotUnderstood = append(status.NotUnderstood, note.String())
+	}
 	for _, service := range s.Rules.Services() {
 		status.Services = append(status.Services, o.serviceStatus(service.Name))
 	}
--- a/protocol/rules/check.go
+++ b/protocol/rules/check.go
@@ -33,6 +33,8 @@
 	line     int
 	where    string
 	mistakes Mistakes
+	// contradictions are those mistakes that concern more than one service or rule.
+	contradictions Mistakes
 }
 
 func check(name, text string, f *file) *checker {
@@ -62,6 +64,11 @@
 	c.mistakes = append(c.mistakes, Mistake{File: c.name, Line: c.line, Where: c.where, Field: field, Message: fmt.Sprintf(format, args...)})
 }
 
+func (c *checker) contradiction(field, format string, args ...any) {
+	c.add(field, format, args...)
+	c.contradictions = append(c.contradictions, c.mistakes[len(c.mistakes)-1])
+}
+
 func (c *checker) at(table string, i int, name string) {
 	c.line = lineOf(c.text, table, i)
 	c.where = fmt.Sprintf("%s %d", table, i+1)
@@ -78,7 +85,7 @@
 	} else if strings.ContainsAny(s.Name, "/ \t") {
 		c.add("name", "must not contain spaces or slashes")
 	} else if c.services[s.Name] != nil {
-		c.add("name", "another service is called %q too; names must differ", s.Name)
+		c.contradiction("name", "another service is called %q too; names must differ", s.Name)
 	}
 	c.services[s.Name] = s
 	if s.TargetConnections < 0 {
@@ -97,7 +104,7 @@
 	if r.Name == "" {
 		c.add("name", "is missing; give the rule a name")
 	} else if first, taken := names[r.Name]; taken {
-		c.add("name", "rule %d is called %q too; names must differ", first+1, r.Name)
+		c.contradiction("name", "rule %d is called %q too; names must differ", first+1, r.Name)
 	}
 	names[r.Name] = i
 	c.when("when", &r.When)
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -41,8 +41,15 @@
 	// that some rule names; others holds those that can match any other path.
 	byFirst map[string]*lastIndex
 	others  *lastIndex
+	notes   Mistakes
 }
 
+// Note adds to what was not understood of the configuration.
+func (s *Set) Note(m ...Mistake) { s.notes = append(s.notes, m...) }
+
+// Notes are what was not understood of a configuration that is used all the same.
+func (s *Set) Notes() Mistakes { return s.notes }
+
 // lastIndex holds rules by the last part of the path, in the same way. Two levels keep the
 // list that is tried one by one short, also when many rules share their beginning.
 type lastIndex struct {
--- a/protocol/rules/parse.go
+++ b/protocol/rules/parse.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -37,6 +39,48 @@
 	return compile(f), nil
 }
 
+// What a caller is told whose rule cannot be used, and when to come back: operators who see it
+// need some seconds to put another configuration into force.
+const (
+	NotUnderstood      = "rule-not-understood"
+	NotUnderstoodRetry = Duration(5 * time.Second)
+)
+
+// BuildUsable is Build for a configuration that others have accepted, and that must be used as
+// far as it goes: a mistake in one rule keeps its own requests unserved, refused as not run, and
+// is told by Notes. The error says that rules or services contradict each other: two have one
+// name.
+//
+// One rule of a kind that was not known once refused the whole, so that nothing was served at
+// all.
+func BuildUsable(name string, services []Service, list []Rule) (*Set, error) {
+	f := &file{Service: services, Rule: list}
+	c, notes := checkEach(name, f)
+	if len(c.contradictions) > 0 {
+		return nil, c.contradictions
+	}
+	s := compile(f)
+	s.Note(notes...)
+	return s, nil
+}
+
+// checkEach checks all rules, and makes those with mistakes of their own refuse.
+func checkEach(name string, f *file) (*checker, Mistakes) {
+	c := &checker{name: name, services: map[string]*Service{}}
+	for i := range f.Service {
+		c.service(i, &f.Service[i])
+	}
+	names := map[string]int{}
+	for i := range f.Rule {
+		before := len(c.mistakes)
+		c.rule(i, &f.Rule[i], names)
+		if len(c.mistakes) > before {
+			f.Rule[i].Then = Then{Refuse: &Refuse{Status: http.StatusServiceUnavailable, Message: NotUnderstood, RetryAfter: NotUnderstoodRetry}}
+		}
+	}
+	return c, c.mistakes
+}
+
 // decode reads the text and reports syntax errors, wrong types and unknown fields.
 func decode(name, text string, f *file) Mistakes {
 	dec := toml.NewDecoder(strings.NewReader(text)).DisallowUnknownFields()
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -47,6 +47,9 @@
 	// KnownMs is the age of what is believed of configuration and registry, in ms.
 	KnownMs int64  `json:"known_ms"`
 	Rules   uint64 `json:"rules"`
+	// NotUnderstood lists what of the rules in force was not understood; requests concerned
+	// are refused.
+	NotUnderstood []string `json:"not_understood,omitempty"`
 	// Instances are all that could be asked, this one included.
 	Instances []InstanceStatus `json:"instances"`
 	Services  []ServiceStatus  `json:"services"`
