Tell the processes of a target apart by its start; leave out entries that name none

Cause: a target may start again under its name; connections, permits, pace, owners of keys and holds were kept under the name alone. A renewal meant for the former process gave the new one its keys under the old fence, and a move that took the owner for ended then gave them to another while the new process held them. An entry that could not be read left the former one in force. Ruled out: a rule for each table; waiting for the registry before each renewal over a new connection (a hold does not leave the time after a change of the leader). Change: the ID of a target holds its start; a renewal asks for a connection that was open before; where there is none the fence is raised first, and a new leader raises all with its lease; keys of a former process are released at its successor before they go on. An earlier start is believed after 2 s. Entries that name no target are left out, told once, at most 256.

--- a/cmd/lycheehall-standin/main.go
+++ b/cmd/lycheehall-standin/main.go
@@ -96,9 +96,9 @@
 	if err != nil {
 		return err
 	}
-	// A target that is started again is another one: it holds nothing.
-	id := fmt.Sprintf("%s.%d", o.id, os.Getpid())
-	target := standin.NewTarget(id, o.service, !o.unkeyed)
+	// A target that is started again has the name of before, and holds nothing.
+	target := standin.NewTarget(o.id, o.service, !o.unkeyed)
+	target.Born = time.Now().UnixMilli()
 	target.Work = o.work
 	target.Plant = standin.Plant(o.plant)
 	if o.record != "" {
@@ -111,7 +111,7 @@
 		address = o.advertise
 	}
 	go http.Serve(l, target.Handler())
-	fmt.Println("target", id, "on", l.Addr())
+	fmt.Println("target", o.id, "on", l.Addr())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	draining := false
@@ -119,7 +119,7 @@
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for !draining || time.Now().Before(stopAt) {
-		if err := register(o.platform, id, target.Entry(address, o.dataCentre, draining)); err != nil {
+		if err := register(o.platform, o.id, target.Entry(address, o.dataCentre, draining)); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 		}
 		select {
--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -87,6 +87,7 @@
 			live[piece{r.From, r.To, r.NextFence}] = true
 		}
 	}
+	m.inherit(live)
 	for p := range m.renewals {
 		if !live[p] {
 			delete(m.renewals, p)
@@ -104,6 +105,23 @@
 	}
 }
 
+// inherit gives the pieces that a range was cut into what is known of its last renewal.
+func (m *Manager) inherit(live map[piece]bool) {
+	byFence := map[uint64][]piece{}
+	for p := range m.renewals {
+		if !live[p] {
+			byFence[p.fence] = append(byFence[p.fence], p)
+		}
+	}
+	for p := range live {
+		for _, whole := range byFence[p.fence] {
+			if m.renewals[p] == nil && whole.from <= p.from && p.to <= whole.to {
+				m.renewals[p] = &renewal{at: m.renewals[whole].at, heldAt: m.renewals[whole].heldAt}
+			}
+		}
+	}
+}
+
 func (m *Manager) mentioned(id string) bool {
 	return slices.ContainsFunc(m.current.Ranges, func(r keyrange.Range) bool { return r.Owner == id || r.Next == id })
 }
@@ -120,6 +138,7 @@
 // SetTargets takes the believed targets of the service.
 func (m *Manager) SetTargets(now clock.Instant, list []view.Target) {
 	newest := map[string]clock.Instant{}
+	byName := map[string]view.Target{}
 	for _, h := range m.holders {
 		h.listed = false
 	}
@@ -131,11 +150,16 @@
 			h.firstListed = now
 		}
 		newest[t.Address] = h.firstListed.Later(newest[t.Address])
+		byName[view.NameOf(t.ID)] = t
 	}
 	if len(list) > 0 && m.firstTarget == clock.Never {
 		m.firstTarget = now
 	}
 	for id, h := range m.holders {
+		if next, ok := byName[view.NameOf(id)]; ok && !h.listed {
+			h.succeeded(id, next)
+			continue
+		}
 		if h.failing() && now.Sub(h.failedAt) >= forgiveAfter && !m.mentioned(id) {
 			h.failingSince = clock.Never
 		}
@@ -148,6 +172,19 @@
 	}
 }
 
+// succeeded notes that the process of a target has ended and that another one was started under
+// its name. At the address of the former one it may have got keys by an order for that: they
+// have to be released there. An order to another address reaches nobody of that name any more.
+func (h *holder) succeeded(id string, next view.Target) {
+	if h.target.Address != "" && h.target.Address != next.Address {
+		h.ended = true
+		return
+	}
+	h.restarted = true
+	h.target = next
+	h.target.ID = id
+}
+
 // SetLoad takes the load by key and the speeds of targets relative to the average.
 func (m *Manager) SetLoad(load *keyrange.Load, speeds map[string]float64) {
 	m.load = load
@@ -165,10 +202,13 @@
 	m.noteHealth(now, h, outcome)
 	switch o.Kind {
 	case Renew:
-		m.renewed(piece{o.From, o.To, o.Fence}, outcome)
+		m.renewed(piece{o.From, o.To, o.Fence}, h, outcome)
 	case Grant:
 		if mv := m.moves[piece{o.From, o.To, o.Fence}]; mv != nil {
 			mv.note(now, o.Kind, outcome, handover)
+			if mv.granted {
+				m.renewals[piece{o.From, o.To, o.Fence}] = &renewal{at: mv.grantSentAt, heldAt: mv.grantSentAt}
+			}
 		}
 	case Release:
 		for _, r := range m.current.Ranges {
@@ -200,6 +240,7 @@
 		h.failingSince = clock.Never
 	case OtherTarget:
 		h.ended = true
+	case Unverified:
 	case NotSent, Unknown:
 		h.failedAt = now
 		if !h.failing() {
@@ -210,15 +251,20 @@
 
 // renewed notes the outcome of a renewal. One that meets a higher fence is asked for again
 // by way of a move to the same owner, which raises the fence.
-func (m *Manager) renewed(p piece, outcome Outcome) {
+func (m *Manager) renewed(p piece, h *holder, outcome Outcome) {
 	r := m.renewals[p]
 	if r == nil {
 		return
 	}
 	r.underWay = false
-	if outcome == HigherFence {
+	switch outcome {
+	case Done:
+		r.heldAt = r.at
+	case HigherFence:
 		delete(m.renewals, p)
 		m.moves[p] = &move{refused: true}
+	case Unverified:
+		h.unverified = true
 	}
 }
 
@@ -293,7 +339,7 @@
 	h := m.holder(r.Owner)
 	state := m.renewals[p]
 	if state == nil {
-		state = &renewal{at: clock.Never}
+		state = &renewal{at: clock.Never, heldAt: clock.Never}
 		m.renewals[p] = state
 	}
 	if state.underWay || h.ended || h.target.Address == "" || state.at != clock.Never && now.Sub(state.at) < RenewEvery {
@@ -302,13 +348,15 @@
 	state.underWay = true
 	state.at = now
 	h.granting++
-	return append(orders, m.order(Renew, r, h, r.Fence, hold, ""))
+	o := m.order(Renew, r, h, r.Fence, hold, "")
+	o.Since = state.heldAt
+	return append(orders, o)
 }
 
 func (m *Manager) order(kind Kind, r keyrange.Range, h *holder, fence uint64, hold time.Duration, handover string) Order {
 	return Order{
 		Kind: kind, Service: m.config.Service, Target: cmp.Or(h.target.ID, r.Owner), Address: h.target.Address,
-		From: r.From, To: r.To, Fence: fence, Hold: hold, Handover: handover,
+		From: r.From, To: r.To, Fence: fence, Hold: hold, Handover: handover, Since: clock.Never,
 	}
 }
 
@@ -331,6 +379,7 @@
 		return orders
 	}
 	mv.granting = true
+	mv.grantSentAt = now
 	next.granting++
 	return append(orders, m.order(Grant, r, next, r.NextFence, hold, mv.handover))
 }
--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -24,12 +24,15 @@
 			m.conclude(e, now, r)
 		case m.refusedRenewal(r):
 			e.Move(r.From, r.To, r.Owner, false)
+		case m.holder(r.Owner).restarted:
+			orphans = append(orphans, r)
 		case m.unreachable(now, r):
 			lost = append(lost, r)
 		case m.leaves(now, r):
 			orphans = append(orphans, r)
 		}
 	}
+	m.grantAnew(e)
 	m.spread(e, orphans, false)
 	m.spread(e, lost, true)
 	m.balance(e, now, moving)
@@ -43,6 +46,21 @@
 	return m.proposed
 }
 
+// grantAnew raises the fences of targets that may have been started again: whoever answers at
+// the address gets the keys under a fence that no former process has had. A target that was not
+// started again takes the new grant in place of the former one; its running work goes on.
+func (m *Manager) grantAnew(e *keyrange.Editor) {
+	for id, h := range m.holders {
+		if !h.unverified {
+			continue
+		}
+		h.unverified = false
+		if h.takes() || h.listed && !h.ended {
+			e.Refence(id)
+		}
+	}
+}
+
 // conclude ends a move whose next owner has the keys, or gives it another next owner.
 func (m *Manager) conclude(e *keyrange.Editor, now clock.Instant, r keyrange.Range) {
 	mv := m.move(now, r)
--- a/coordination/assign/schedules_test.go
+++ b/coordination/assign/schedules_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -18,6 +20,7 @@
 type fakeTarget struct {
 	id   string
 	up   bool
+	born clock.Instant
 	rate float64
 	held map[uint16]hold
 	// forgetful is a fault that is planted: it takes grants under fences it has seen raised.
@@ -63,11 +66,15 @@
 // world runs managers against targets under a random schedule of mishaps, in virtual time.
 // It shares no code with the manager but the types of orders.
 type world struct {
-	random  *rand.Rand
-	now     clock.Instant
+	random *rand.Rand
+	now    clock.Instant
+	// targets holds all processes by ID, called the last one of each name.
 	targets map[string]*fakeTarget
+	called  map[string]*fakeTarget
 	listed  map[string]view.Target
 	born    int
+	// highest is the highest fence that each key was granted under, and to whom.
+	highest map[uint16]granted
 	// stored is what the store holds; leader is who may write it.
 	stored   *keyrange.Map
 	leader   *Manager
@@ -78,6 +85,11 @@
 	broken   string
 }
 
+type granted struct {
+	fence uint64
+	to    string
+}
+
 type event struct {
 	at clock.Instant
 	do func()
@@ -85,7 +97,7 @@
 
 func newWorld(seed uint64, forgetful bool) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, targets: map[string]*fakeTarget{},
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, targets: map[string]*fakeTarget{}, called: map[string]*fakeTarget{}, highest: map[uint16]granted{},
 		listed: map[string]view.Target{}, stored: keyrange.Empty(), seen: map[uint16]uint64{},
 	}
 	for range 4 {
@@ -97,13 +109,23 @@
 
 func (w *world) birth(address string, forgetful bool) {
 	w.born++
-	id := fmt.Sprintf("t%d", w.born)
-	w.targets[id] = &fakeTarget{id: id, up: true, rate: 1 + 0.02*w.random.Float64(), held: map[uint16]hold{}, forgetful: forgetful}
+	t := w.start(fmt.Sprintf("t%d", w.born), address, forgetful)
+	w.listed[t.ID] = t
+}
+
+// start starts a process under a name, which may have been another's.
+func (w *world) start(name, address string, forgetful bool) view.Target {
+	id := view.LifeID(name, int64(w.now))
+	w.targets[id] = &fakeTarget{id: id, up: true, born: w.now, rate: 1 + 0.02*w.random.Float64(), held: map[uint16]hold{}, forgetful: forgetful}
+	w.called[name] = w.targets[id]
 	t := target(id)
 	t.Address = address
-	w.listed[id] = t
+	return t
 }
 
+// listedIDs returns the listed targets in an order that is the same each time.
+func (w *world) listedIDs() []string { return slices.Sorted(maps.Keys(w.listed)) }
+
 func (w *world) later(most time.Duration, do func()) {
 	w.events = append(w.events, event{w.now.Add(time.Duration(w.random.Int64N(int64(most)))), do})
 }
@@ -111,8 +133,8 @@
 // mishap lets something go wrong.
 func (w *world) mishap() {
 	var ids []string
-	for i := 1; i <= w.born; i++ {
-		if id := fmt.Sprintf("t%d", i); w.listed[id].ID != "" && w.targets[id].up {
+	for _, id := range w.listedIDs() {
+		if w.targets[id].up {
 			ids = append(ids, id)
 		}
 	}
@@ -121,7 +143,17 @@
 	}
 	id := ids[w.random.IntN(len(ids))]
 	t := w.listed[id]
-	switch w.random.IntN(5) {
+	switch w.random.IntN(7) {
+	case 5, 6:
+		// A crash, and a new start under the same name, which the registry shows a while later.
+		w.targets[id].up = false
+		next := w.start(view.NameOf(id), t.Address, w.targets[id].forgetful)
+		w.later(1200*time.Millisecond, func() {
+			if _, listed := w.listed[id]; listed {
+				delete(w.listed, id)
+				w.listed[next.ID] = next
+			}
+		})
 	case 0:
 		// A crash, and a new life at the same address.
 		// Its entry lapses later.
@@ -131,7 +163,11 @@
 	case 1:
 		// Cut from the registry, but alive and renewed.
 		delete(w.listed, id)
-		w.later(4*time.Second, func() { w.listed[id] = t })
+		w.later(4*time.Second, func() {
+			if w.called[view.NameOf(id)].id == id {
+				w.listed[id] = t
+			}
+		})
 	case 2:
 		w.listed[id] = draining(t)
 		w.later(5*time.Second, func() {
@@ -142,6 +178,7 @@
 	case 3:
 		// Another instance leads. The former one goes on sending for a moment.
 		w.former, w.formerTo = w.leader, w.now.Add(lease.Margin)
+		w.stored = w.stored.Raised()
 		w.leader = NewManager(config, w.stored, w.now)
 	case 4:
 		load := &keyrange.Load{}
@@ -155,14 +192,17 @@
 
 // send lets an order reach its target, be lost, have its answer lost, or come late.
 func (w *world) send(m *Manager, o Order) {
-	f := w.targets[o.Target]
+	f := w.called[view.NameOf(o.Target)]
 	switch chance := w.random.IntN(100); {
+	case o.Since != clock.Never && (f == nil || f.born > o.Since || chance < 2):
+		// Connections end with the process, and at times without.
+		w.later(30*time.Millisecond, func() { m.Finished(w.now, o, Unverified, "") })
 	case f == nil || !f.up:
 		w.later(300*time.Millisecond, func() { m.Finished(w.now, o, NotSent, "") })
 	case chance < 4:
 		w.later(700*time.Millisecond, func() { m.Finished(w.now, o, NotSent, "") })
 	case chance < 8:
-		f.apply(w.now, o)
+		w.apply(f, o)
 		w.later(700*time.Millisecond, func() { m.Finished(w.now, o, Unknown, "") })
 	case chance < 11 && o.Kind != Release:
 		// Carried out late; its time counts from when it came.
@@ -179,19 +219,35 @@
 		w.later(30*time.Millisecond, func() {
 			outcome := OtherTarget
 			if f.up {
-				outcome = f.apply(w.now, o)
+				outcome = w.apply(f, o)
 			}
 			w.later(30*time.Millisecond, func() { m.Finished(w.now, o, outcome, "h") })
 		})
 	}
 }
 
+// apply carries out an order that was not held up, and looks at its fence.
+func (w *world) apply(f *fakeTarget, o Order) Outcome {
+	outcome := f.apply(w.now, o)
+	for _, key := range watched {
+		if outcome != Done || o.Kind == Release || key < o.From || key > o.To {
+			continue
+		}
+		top := w.highest[key]
+		if top.to != "" && top.to != f.id && o.Fence <= top.fence {
+			w.broken = fmt.Sprintf("%v: %s takes key %d under fence %d, under which %s has had it", w.now.Sub(start), f.id, key, o.Fence, top.to)
+		}
+		if o.Fence >= top.fence {
+			w.highest[key] = granted{o.Fence, f.id}
+		}
+	}
+	return outcome
+}
+
 func (w *world) drive(m *Manager) {
 	list := make([]view.Target, 0, len(w.listed))
-	for i := 1; i <= w.born; i++ {
-		if t, ok := w.listed[fmt.Sprintf("t%d", i)]; ok {
-			list = append(list, t)
-		}
+	for _, id := range w.listedIDs() {
+		list = append(list, w.listed[id])
 	}
 	m.SetTargets(w.now, list)
 	for _, o := range m.Tick(w.now, Hold) {
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -56,6 +56,10 @@
 	Fence    uint64
 	Hold     time.Duration
 	Handover string
+	// Since asks for a connection that was open then already: the target had the keys at that
+	// time, and whoever answers over such a connection is the same process. clock.Never: any
+	// connection will do.
+	Since clock.Instant
 }
 
 // Outcome is what is known about the effect of an order.
@@ -71,6 +75,9 @@
 	NotSent Outcome = "not-sent"
 	// Unknown: the target may have got it and may still do it.
 	Unknown Outcome = "unknown"
+	// Unverified: there is no connection as old as Order.Since; the order was not sent. The
+	// target may have been started again since.
+	Unverified Outcome = "unverified"
 	// OtherTarget: somebody else answers at the address; the target has ended.
 	OtherTarget Outcome = "other-target"
 )
@@ -102,6 +109,12 @@
 	failedAt clock.Instant
 	// speed is the target's speed relative to the average.
 	speed float64
+	// restarted says that the target has been started again under its name. Its address is that
+	// of the new process, which may have been granted keys by an order meant for the former one.
+	restarted bool
+	// unverified says that the target may have been started again: it gets its keys once more,
+	// under a higher fence.
+	unverified bool
 }
 
 func (h *holder) failing() bool { return h.failingSince != clock.Never }
@@ -125,6 +138,8 @@
 type renewal struct {
 	at       clock.Instant
 	underWay bool
+	// heldAt is when the last order was sent after which the target had the keys.
+	heldAt clock.Instant
 }
 
 // move is the state of a range that changes hands.
@@ -140,4 +155,6 @@
 	refused bool
 	retryAt clock.Instant
 	begun   clock.Instant
+	// grantSentAt is when the last grant was sent.
+	grantSentAt clock.Instant
 }
--- a/coordination/keyrange/map.go
+++ b/coordination/keyrange/map.go
@@ -108,6 +108,34 @@
 	}
 }
 
+// Raised returns the map with every fence raised. Whoever begins to lead puts it into force
+// along with its lease: it cannot know which targets have been started again under their names
+// since they were granted their keys, and no process may have keys under a fence under which
+// another one had them. Orders of the former leading instance that come late meet a higher fence.
+func (m *Map) Raised() *Map {
+	next := &Map{Version: m.Version + 1, Ranges: slices.Clone(m.Ranges)}
+	for i := range next.Ranges {
+		r := &next.Ranges[i]
+		if r.Owner != "" {
+			r.Fence = next.Version
+		}
+		if r.Moving() {
+			r.NextFence = next.Version
+		}
+	}
+	return next
+}
+
+// Refence puts all ranges that an owner serves under the fence of this change.
+func (e *Editor) Refence(owner string) {
+	for i := range e.ranges {
+		if r := &e.ranges[i]; r.Served() && r.Owner == owner {
+			r.Fence = e.version
+			e.changed = true
+		}
+	}
+}
+
 // update changes the keys from..to, cutting ranges where needed.
 func (e *Editor) update(from, to uint16, change func(*Range)) {
 	var out []Range
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -39,19 +39,38 @@
 	// must be read as a whole.
 	rulesNext   uint64
 	targetsNext uint64
-	targets     map[string]view.Target
-	badRules    uint64
-	badTargets  map[string]uint64
+	// targets are the entries of the registry that name a target, by their keys.
+	targets  map[string]view.Target
+	badRules uint64
+	// older are the entries that tell of an earlier life of a target than targets do.
+	older map[string]olderEntry
+	// refused are the keys of entries that name no target, as far as they have been told.
+	refused map[string]bool
 }
 
+// olderEntry is an entry whose target was started before the one known by its name.
+type olderEntry struct {
+	target view.Target
+	since  clock.Instant
+}
+
+const (
+	// olderFor is how long an entry must tell of an earlier start before that is believed. What
+	// a former life has written may take effect after the next one has registered, which writes
+	// again within a heartbeat, 0.87 s; a process whose clock was set back goes on telling it.
+	olderFor = 2 * time.Second
+	// mostRefused bounds the entries that are told to name no target.
+	mostRefused = 256
+)
+
 func newReader(c clock.Clock, s store.Store, source Source, board *view.Board, log Log) *reader {
-	return &reader{clock: c, store: s, source: source, board: board, log: log, targets: map[string]view.Target{}, badTargets: map[string]uint64{}}
+	return &reader{clock: c, store: s, source: source, board: board, log: log, targets: map[string]view.Target{}, older: map[string]olderEntry{}, refused: map[string]bool{}}
 }
 
 // readRules brings the configuration up to date, and waits for a change for at most wait.
 func (r *reader) readRules(ctx context.Context, wait time.Duration) error {
 	begun := r.clock.Now()
-	rows, next, err := r.read(ctx, r.source.RulesTable, r.rulesNext, wait)
+	rows, next, _, err := r.read(ctx, r.source.RulesTable, r.rulesNext, wait)
 	if err != nil {
 		r.rulesNext = 0
 		return err
@@ -103,61 +122,91 @@
 // readTargets brings the registry up to date.
 func (r *reader) readTargets(ctx context.Context) error {
 	begun := r.clock.Now()
-	whole := r.targetsNext == 0
-	rows, next, err := r.read(ctx, r.source.TargetTable, r.targetsNext, 0)
+	rows, next, whole, err := r.read(ctx, r.source.TargetTable, r.targetsNext, 0)
 	if err != nil {
 		r.targetsNext = 0
 		return err
 	}
 	r.targetsNext = next
+	before := r.targets
 	if whole {
-		clear(r.targets)
+		// Entries that were read earlier and are missing now have been removed.
+		r.targets = map[string]view.Target{}
+		clear(r.older)
 	}
 	for _, row := range rows {
-		r.applyTarget(row)
+		r.applyTarget(before, row, begun)
 	}
-	gone, added := r.board.SetTargets(next, r.targets, begun)
+	r.believeOlder(begun)
+	gone, added := r.board.SetTargets(next, byID(r.targets), begun)
 	if len(gone)+len(added) > 0 {
 		r.log("targets-changed", "gone", gone, "added", added, "registry", next)
 	}
 	return nil
 }
 
-func (r *reader) applyTarget(row store.Row) {
+// applyTarget takes one row; before holds what was known before this reading.
+func (r *reader) applyTarget(before map[string]view.Target, row store.Row, now clock.Instant) {
+	delete(r.older, row.Key)
 	if row.Deleted {
 		delete(r.targets, row.Key)
 		return
 	}
 	t, err := r.source.DecodeTarget(row)
 	if err != nil {
-		// The last good entry stays in force.
-		if r.badTargets[row.Key] == 0 {
-			r.badTargets[row.Key] = row.Version
-			r.log("target-refused", "error", err.Error(), "row", row.Version)
-		}
+		r.refuseTarget(row, err)
+		return
+	}
+	delete(r.refused, row.Key)
+	if known, ok := before[row.Key]; ok && t.Born < known.Born {
+		r.older[row.Key] = olderEntry{t, now}
+		r.targets[row.Key] = known
 		return
 	}
 	r.targets[row.Key] = t
 }
 
-// read reads a table as a whole, or what has changed in it.
-func (r *reader) read(ctx context.Context, table string, after uint64, wait time.Duration) ([]store.Row, uint64, error) {
+// refuseTarget leaves out an entry that names no target. What it said before does not hold any
+// more: a target writes its entry again within a heartbeat.
+func (r *reader) refuseTarget(row store.Row, err error) {
+	delete(r.targets, row.Key)
+	if r.refused[row.Key] || len(r.refused) >= mostRefused {
+		return
+	}
+	r.refused[row.Key] = true
+	r.log("target-refused", "error", err.Error(), "row", row.Version)
+}
+
+// believeOlder takes earlier starts that have been told for long.
+func (r *reader) believeOlder(now clock.Instant) {
+	for key, o := range r.older {
+		if now.Sub(o.since) >= olderFor {
+			r.targets[key] = o.target
+			delete(r.older, key)
+		}
+	}
+}
+
+func byID(entries map[string]view.Target) map[string]view.Target {
+	list := make(map[string]view.Target, len(entries))
+	for _, t := range entries {
+		list[t.ID] = t
+	}
+	return list
+}
+
+// read reads what has changed in a table, or the table as a whole where the changes are not
+// known.
+func (r *reader) read(ctx context.Context, table string, after uint64, wait time.Duration) (rows []store.Row, next uint64, whole bool, err error) {
 	if after != 0 {
 		rows, next, err := r.store.Feed(ctx, table, after, wait)
 		if !errors.Is(err, store.ErrHistoryGone) {
-			return rows, next, err
+			return rows, next, false, err
 		}
 		r.log("history-gone", "table", table, "after", after)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.scan(ctx, table)
-}
-
-func (r *reader) scan(ctx context.Context, table string) ([]store.Row, uint64, error) {
-	if table == r.source.TargetTable {
-		// Entries that were read earlier and are missing now have been removed.
-		clear(r.targets)
-	}
-	return r.store.Scan(ctx, table, "")
+	rows, next, err = r.store.Scan(ctx, table, "")
+	return rows, next, true, err
 }
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -111,17 +111,44 @@
 		return nil
 	}
 	id := store.ID{Table: table, Part: part, Key: leaseKey}
+	txn := store.Txn{
+		Expect: []store.Expect{{ID: id, Version: s.leaseVersion}},
+		Writes: []store.Write{{ID: id, Value: text}},
+	}
+	raised, err := s.raise(&txn)
+	if err != nil {
+		c.log("map-not-written", "error", err.Error())
+		return nil
+	}
 	begun := c.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	version, err := c.store.Commit(ctx, store.Txn{
-		Expect: []store.Expect{{ID: id, Version: s.leaseVersion}},
-		Writes: []store.Write{{ID: id, Value: text}},
-	})
+	version, err := c.store.Commit(ctx, txn)
 	if err != nil {
 		return nil
 	}
 	s.lease = row
 	s.leaseVersion = version
+	for service, m := range raised {
+		s.maps[service] = m
+		s.mapVersions[service] = version
+		c.board.SetMap(service, m)
+	}
 	return c.begin(s, begun)
 }
+
+// raise adds the maps with all fences raised to a transaction, and returns them.
+func (s *stored) raise(txn *store.Txn) (map[string]*keyrange.Map, error) {
+	raised := map[string]*keyrange.Map{}
+	for service, m := range s.maps {
+		raised[service] = m.Raised()
+		text, err := raised[service].Encode()
+		if err != nil {
+			return nil, err
+		}
+		id := store.ID{Table: table, Part: part, Key: mapKey + service}
+		txn.Expect = append(txn.Expect, store.Expect{ID: id, Version: s.mapVersions[service]})
+		txn.Writes = append(txn.Writes, store.Write{ID: id, Value: text})
+	}
+	return raised, nil
+}
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -212,7 +212,7 @@
 	settled := b.targetsAt.Sub(b.steadySince) >= goneAfter
 	b.keeping = false
 	for id, t := range old {
-		if _, listed := list[id]; listed || settled || addressTaken(old, list, t) {
+		if _, listed := list[id]; listed || settled || replaced(old, list, t) {
 			continue
 		}
 		believed[id] = t
@@ -245,10 +245,14 @@
 	return out
 }
 
-// addressTaken reports whether another target has come to the address, which tells that the
-// former one has ended. One that was known beside it may be the former one of the two.
-func addressTaken(old, list map[string]Target, t Target) bool {
+// replaced reports whether another life of the target is listed, or another target has come to
+// its address: either tells that this one has ended. One that was known beside it may be the
+// former one of the two.
+func replaced(old, list map[string]Target, t Target) bool {
 	for id, other := range list {
+		if NameOf(id) == NameOf(t.ID) {
+			return true
+		}
 		if _, known := old[id]; !known && other.Address == t.Address {
 			return true
 		}
--- a/coordination/view/board_test.go
+++ b/coordination/view/board_test.go
@@ -113,6 +113,16 @@
 		Expect(believed("x")).To(BeFalse())
 	})
 
+	// Symptom: requests go to a process that has ended, for two seconds. Sequence: a target
+	// crashes behind an outage of the store and starts again under its name at another address.
+	// Cause: its former life was missing from the registry, as entries are after an outage.
+	It("drops a missing target of which another life is listed", func() {
+		read(time.Second, "x@1")
+		c.now = clock.Instant(10 * time.Second)
+		b.SetTargets(uint64(c.now), map[string]Target{"x@2": {ID: "x@2", Service: "s", Address: "elsewhere"}}, c.now)
+		Expect(believed("x@1")).To(BeFalse())
+	})
+
 	It("wakes nobody when nothing has changed", func() {
 		read(time.Second, "x")
 		before := b.Load()
@@ -130,6 +140,15 @@
 		Expect(b.Load().Maps["s"]).To(Equal(m2))
 	})
 
+	It("tells the name of a target from its ID, whatever the name is", func() {
+		for _, name := range []string{"i-1", "i@1", "@", ""} {
+			for _, born := range []int64{0, 1, -1, 1764717600123} {
+				Expect(NameOf(LifeID(name, born))).To(Equal(name))
+			}
+		}
+		Expect(LifeID("i-1", 5)).NotTo(Equal(LifeID("i-1", 6)))
+	})
+
 	It("remembers since when a target has been draining", func() {
 		c.now = clock.Instant(time.Second)
 		list := listing("x")
--- a/coordination/view/target.go
+++ b/coordination/view/target.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
@@ -8,9 +10,13 @@
 
 // Target is a server of a service as the registry lists it.
 type Target struct {
-	// ID is unique to one start of the process: a process that is started again owns
-	// nothing and must not be taken for the earlier one.
-	ID         string
+	// ID is unique to one start of the process, see LifeID: a process that is started again
+	// owns nothing and must not be taken for the earlier one. Whatever is kept for a target is
+	// kept under its ID.
+	ID string
+	// Born is when the process was started, in Unix milliseconds by its own clock; 0: it does
+	// not say. It tells lives apart and nothing else: clocks are set back.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -42,3 +48,23 @@
 func (t Target) Left(now clock.Instant) bool {
 	return t.Draining && now.Sub(t.DrainingAt) > LeaveAfter
 }
+
+// lifeMark stands between a target's name and its start in its ID.
+const lifeMark = "@"
+
+// LifeID returns the ID of one life of a target: the name under which the registry lists it,
+// and when it was started.
+func LifeID(name string, born int64) string {
+	if born == 0 && !strings.Contains(name, lifeMark) {
+		return name
+	}
+	return name + lifeMark + strconv.FormatInt(born, 10)
+}
+
+// NameOf returns the name that a target goes by itself, which all its lives share.
+func NameOf(id string) string {
+	if i := strings.LastIndex(id, lifeMark); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -151,7 +151,7 @@
 	i.handler = front.NewHandler(
 		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
-	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, func() bool { return i.coordinator.Leading() })
+	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
 		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balance},
 		i.clock, i.platform.Store, i.board, &stampedPeers{i.peerClient, i.log}, orderClient, collector, i.log.Event)
--- a/soak/check.go
+++ b/soak/check.go
@@ -34,9 +34,10 @@
 	return append(wrong, checkOwners(runs)...)
 }
 
-// checkOwners sees whether, for each key, work was begun under fences that never go back. A
-// target that has lost a key and begins work on it after the next owner did shows as an older
-// fence after a newer one.
+// checkOwners sees whether, for each key, work was begun under fences that never go back, and
+// that grow from one process to the next. A target that has lost a key and begins work on it
+// after the next owner did shows as an older fence after a newer one; one that was started again
+// and got keys by an order for its former process, as the same fence.
 func checkOwners(runs []standin.Record) []string {
 	byKey := map[int][]standin.Record{}
 	for _, r := range runs {
@@ -46,7 +47,7 @@
 	for key, list := range byKey {
 		slices.SortFunc(list, func(a, b standin.Record) int { return cmp.Compare(a.Begun, b.Begun) })
 		for i := 1; i < len(list); i++ {
-			if list[i].Fence < list[i-1].Fence {
+			if list[i].Fence < list[i-1].Fence || list[i].Fence == list[i-1].Fence && list[i].Target != list[i-1].Target {
 				wrong = append(wrong, fmt.Sprintf("key %d: %s began %s under fence %d after %s had begun %s under fence %d",
 					key, list[i].Target, list[i].Request, list[i].Fence, list[i-1].Target, list[i-1].Request, list[i-1].Fence))
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,6 +103,7 @@
 		Entry("a false refusal", Told{Outcome: NotRun, Status: 503}, []standin.Record{run("a", 1, 1, 1)}, "refused as not run"),
 		Entry("an answer without a run", Told{Outcome: Answered, Own: true}, nil, "did not run"),
 		Entry("another's answer", Told{Outcome: Answered}, []standin.Record{run("a", 1, 1, 1)}, "not its own"),
+		Entry("a new process under the fence of the former one", Told{Outcome: Unknown}, []standin.Record{run("a", 1, 1, 1), {Request: "x", Target: "again", Key: 1, Fence: 1, Begun: 2}}, "under fence 1 after"),
 		Entry("a former owner at work", Told{Outcome: Unknown}, []standin.Record{run("a", 1, 2, 1), run("x", 1, 1, 2)}, "under fence 1 after"),
 	)
 })
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -3,7 +3,9 @@
 // An order goes to an address, but concerns one start of one process: a target that has been
 // started again at the same address, or another that got the address, must not be given the
 // keys of the former one under an old fence. So each order names the target that it is for;
-// any other one refuses it.
+// any other one refuses it. A target that was started again under its name does not: a renewal
+// goes only over a connection that was open before the keys were last granted or renewed, which
+// the former process has ended with itself. Where there is none left the renewal is not sent.
 package orders
 
 import (
@@ -15,10 +17,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/assign"
+	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 )
 
@@ -57,6 +62,7 @@
 type Client struct {
 	encoder Encoder
 	names   wire.Names
+	clock   clock.Clock
 	// may is asked right before an order is sent; it reports whether this instance still
 	// leads. A process that was stopped between the decision and the sending must not send.
 	may func() bool
@@ -71,11 +77,13 @@
 	net.Conn
 	reader *bufio.Reader
 	usedAt time.Time
+	// openAt is when the connection was open at the latest.
+	openAt clock.Instant
 }
 
 // NewClient returns a client without connections.
-func NewClient(encoder Encoder, names wire.Names, may func() bool) *Client {
-	return &Client{encoder: encoder, names: names, may: may, idle: map[string][]*conn{}, turns: map[string]chan struct{}{}}
+func NewClient(encoder Encoder, names wire.Names, c clock.Clock, may func() bool) *Client {
+	return &Client{encoder: encoder, names: names, clock: c, may: may, idle: map[string][]*conn{}, turns: map[string]chan struct{}{}}
 }
 
 // Do carries out an order and says what is known of its effect.
@@ -88,6 +96,9 @@
 		defer done()
 	}
 	cn, err := c.connect(ctx, o)
+	if errors.Is(err, errOnlyNew) {
+		return assign.Unverified, ""
+	}
 	if err != nil || !c.may() {
 		if cn != nil {
 			c.keep(o.Target, cn)
@@ -168,7 +179,7 @@
 		return nil, fmt.Errorf("orders: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(c.names.Target, o.Target)
+	req.Header.Set(c.names.Target, view.NameOf(o.Target))
 	return cn.roundTrip(req, timeout)
 }
 
@@ -196,32 +207,52 @@
 	return resp, nil
 }
 
+// errOnlyNew says that no connection to the target has been open for as long as the order asks.
+var errOnlyNew = errors.New("orders: there is no connection from before")
+
 // connect returns a connection to the order's target.
 func (c *Client) connect(ctx context.Context, o assign.Order) (*conn, error) {
-	if cn := c.take(o.Target); cn != nil {
+	if cn := c.take(o); cn != nil {
 		return cn, nil
 	}
+	if o.Since != clock.Never {
+		return nil, errOnlyNew
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", o.Address)
 	if err != nil {
 		return nil, fmt.Errorf("orders: %w", err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), openAt: c.clock.Now()}, nil
 }
 
-// take returns an idle connection to a target that seems to be open.
-func (c *Client) take(target string) *conn {
+// take returns an idle connection that seems to be open, and has been for as long as the order
+// asks; the one that was opened last, so that the older ones are there for orders that ask more.
+func (c *Client) take(o assign.Order) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for list := c.idle[target]; len(list) > 0; list = c.idle[target] {
-		cn := list[len(list)-1]
-		c.idle[target] = list[:len(list)-1]
+	var kept []*conn
+	for _, cn := range c.idle[o.Target] {
 		if time.Since(cn.usedAt) < idleFor && cn.reader.Buffered() == 0 && wire.Quiet(cn.Conn) {
-			return cn
+			kept = append(kept, cn)
+			continue
 		}
 		cn.Close()
 	}
-	return nil
+	best := -1
+	for i, cn := range kept {
+		old := o.Since == clock.Never || cn.openAt <= o.Since
+		if old && (best < 0 || cn.openAt > kept[best].openAt) {
+			best = i
+		}
+	}
+	var found *conn
+	if best >= 0 {
+		found = kept[best]
+		kept = slices.Delete(kept, best, best+1)
+	}
+	c.idle[o.Target] = kept
+	return found
 }
 
 func (c *Client) keep(target string, cn *conn) {
--- a/transport/orders/orders_test.go
+++ b/transport/orders/orders_test.go
@@ -14,7 +14,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/assign"
+	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 )
 
@@ -55,7 +57,7 @@
 	always := func() bool { return true }
 	names := wire.Names{Target: "Target"}
 	renewal := func(address string, n int) assign.Order {
-		return assign.Order{Kind: assign.Renew, Target: "t1", Address: address, From: uint16(n), To: uint16(n), Fence: 1, Hold: time.Second}
+		return assign.Order{Kind: assign.Renew, Target: "t1", Address: address, From: uint16(n), To: uint16(n), Fence: 1, Hold: time.Second, Since: clock.Never}
 	}
 
 	// Symptom: targets reset connections beyond their number, renewals among them.
@@ -63,7 +65,7 @@
 	// Cause: each renewal had a connection of its own, of which two were kept.
 	It("share few connections", func() {
 		address, connections := countingTarget(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-		c := NewClient(plain{}, names, always)
+		c := NewClient(plain{}, names, clock.System{}, always)
 		for range 5 {
 			var round sync.WaitGroup
 			for n := range 20 {
@@ -83,19 +85,56 @@
 	It("are not sent by an instance that does not lead any more", func() {
 		requests := atomic.Int64{}
 		address, _ := countingTarget(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
-		c := NewClient(plain{}, names, func() bool { return false })
+		c := NewClient(plain{}, names, clock.System{}, func() bool { return false })
 		outcome, _ := c.Do(context.Background(), renewal(address, 1))
 		Expect(outcome).To(Equal(assign.NotSent))
 		Expect(requests.Load()).To(BeZero())
 	})
 
+	// Symptom: a target takes keys under a fence under which its former process had them.
+	// Sequence: it crashes and starts again at its address under its name; the next renewal
+	// goes over a new connection. Cause: the name of the target does not tell its lives apart.
+	It("renew nothing over a connection that is younger than what they renew", func() {
+		var s *httptest.Server
+		requests := atomic.Int64{}
+		answer := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+		s = httptest.NewServer(answer)
+		DeferCleanup(func() { s.Close() })
+		address := s.Listener.Addr().String()
+		c := NewClient(plain{}, names, clock.System{}, always)
+		do := func(since clock.Instant) assign.Outcome {
+			o := renewal(address, 1)
+			o.Since = since
+			outcome, _ := c.Do(context.Background(), o)
+			return outcome
+		}
+		Expect(do(clock.Never)).To(Equal(assign.Done))
+		held := clock.System{}.Now()
+		Expect(do(held)).To(Equal(assign.Done))
+		s.CloseClientConnections()
+		Expect(do(held)).To(Equal(assign.Unverified))
+		Expect(requests.Load()).To(Equal(int64(2)))
+		Expect(do(clock.Never)).To(Equal(assign.Done))
+		Expect(do(held)).To(Equal(assign.Unverified))
+		Expect(do(clock.System{}.Now())).To(Equal(assign.Done))
+	})
+
+	It("name the target by what it goes by itself", func() {
+		name := ""
+		address, _ := countingTarget(func(_ http.ResponseWriter, r *http.Request) { name = r.Header.Get("Target") })
+		o := renewal(address, 1)
+		o.Target = view.LifeID("t@1", 4711)
+		NewClient(plain{}, names, clock.System{}, always).Do(context.Background(), o)
+		Expect(name).To(Equal("t@1"))
+	})
+
 	It("tell what the target said", func() {
 		status := http.StatusOK
 		address, _ := countingTarget(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Handover", "h")
 			w.WriteHeader(status)
 		})
-		c := NewClient(plain{}, names, always)
+		c := NewClient(plain{}, names, clock.System{}, always)
 		for code, want := range map[int]assign.Outcome{
 			http.StatusOK: assign.Done, http.StatusConflict: assign.HigherFence,
 			http.StatusMisdirectedRequest: assign.OtherTarget, http.StatusInternalServerError: assign.Unknown,
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -57,7 +57,10 @@
 
 // Target is where a request goes.
 type Target struct {
-	ID      string
+	// ID is what connections are kept under: a process that was started again has none.
+	ID string
+	// Name is what the target goes by; it refuses requests for another.
+	Name    string
 	Address string
 	// Connections bounds this instance's connections to the target; 0: no bound.
 	Connections int
@@ -166,7 +169,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		fmt.Fprintf(&b, "%s: %d\r\n", names.Timeout, max(1, time.Until(deadline).Milliseconds()))
 	}
-	fmt.Fprintf(&b, "%s: %s\r\n", names.Target, x.target.ID)
+	fmt.Fprintf(&b, "%s: %s\r\n", names.Target, x.target.Name)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		fmt.Fprintf(&b, "Content-Length: %s\r\n", strconv.Itoa(len(r.Body)))
 	}
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -41,7 +41,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	t := &target{Target: Target{ID: "t1", Address: l.Addr().String()}}
+	t := &target{Target: Target{ID: "t1@5", Name: "t1", Address: l.Addr().String()}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -147,7 +147,7 @@
 		c := newClient()
 		c.pool.settle = 10 * time.Second
 		begun := time.Now()
-		_, err = c.Do(within(20*time.Second), Target{ID: "t1", Address: l.Addr().String()}, post("1", "b"))
+		_, err = c.Do(within(20*time.Second), Target{ID: "t1", Name: "t1", Address: l.Addr().String()}, post("1", "b"))
 		Expect(err).To(MatchError(ErrNotSent))
 		Expect(time.Since(begun)).To(BeNumerically("<", 5*time.Second))
 	})
@@ -347,7 +347,7 @@
 		w.Header().Set("Signed", "yes")
 	}))
 	c := newClient()
-	t := Target{ID: "t1", Address: l.Addr().String()}
+	t := Target{ID: "t1", Name: "t1", Address: l.Addr().String()}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	r := get("1")
