Believe no keeper that knows less; learn from anybody at the start; end whatever hangs

Cause, of the first: while the store is away, an instance that is killed and starts again knows no targets; as keeper of a service it refused every request of all instances with no-target. Ruled out: leaving it out of the ranking until it knows, which others cannot see in time. Change: a keeper's word that there is no target counts only if it has read as much of the registry as who asks; who asks goes on with its share of the slots. An instance that starts and cannot read the store asks the seeds for whatever they know, with its age. Cause, of the second: the end of a process waited for calls that do not heed their context and for a log that nobody reads, and had 0.15 s for closing. Change: the wait is bounded by 0.2 s, the reserves are 0.3, 0.55 and 0.95 s; a call that ends with its instance is no loss of the store.

--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -53,7 +53,7 @@
 			// What became of it shows in what the store holds now.
 			again, _ = t.c.readStored(ctx)
 		}
-		t.c.noteStore(err)
+		t.c.noteStore(ctx, err)
 		select {
 		case t.done <- func() { t.committed(now, proposed, version, err, again) }:
 		case <-t.stop:
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -30,6 +30,9 @@
 		}
 		t, err := c.lookAtLease(ctx, !leaving)
 		if t == nil {
+			if err != nil {
+				c.askAnybody(ctx)
+			}
 			look := c.shared(leaseLookEvery)
 			sleep(ctx, c.spared(pause.after(err, look/2+rand.N(look/2)), err))
 			continue
--- a/coordination/lead/poll.go
+++ b/coordination/lead/poll.go
@@ -37,7 +37,7 @@
 			wait = 0
 		}
 		err := c.reader.readRules(ctx, wait)
-		c.noteStore(err)
+		c.noteStore(ctx, err)
 		sleep(ctx, pause.after(err, 0))
 	}
 }
@@ -53,13 +53,17 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.reader.readTargets(callCtx)
 		cancel()
-		c.noteStore(err)
+		c.noteStore(ctx, err)
 		sleep(ctx, pause.after(err, c.pollPause()))
 	}
 }
 
-// noteStore logs when the store is lost and when it is back.
-func (c *Coordinator) noteStore(err error) {
+// noteStore logs when the store is lost and when it is back. A call that this instance gave up
+// because it ends, as ctx tells, says nothing about the store.
+func (c *Coordinator) noteStore(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -136,6 +136,35 @@
 	return true
 }
 
+// askAnybody asks the seeds for whatever they know, when this instance knows nothing and cannot
+// read the store. Without it a process that starts while the store is away serves nobody until
+// the store is back, though all others know enough.
+func (c *Coordinator) askAnybody(ctx context.Context) {
+	for _, address := range c.config.Seeds {
+		if c.board.KnownAt() != clock.Never {
+			return
+		}
+		if address == c.config.Self.Address || !c.mayAnswer(address) {
+			continue
+		}
+		args := c.question()
+		args.Starting = true
+		begun := c.clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+		reply, err := c.peers.Sync(callCtx, address, args)
+		cancel()
+		if err != nil {
+			c.noteSilent(address, err)
+			continue
+		}
+		if reply.TargetsRead == 0 || reply.RulesText == nil {
+			continue
+		}
+		c.adopt(begun, args, reply)
+		c.log("told-by-other", "address", address, "age_ms", reply.Age.Milliseconds())
+	}
+}
+
 // noteSilent notes that a relay did not answer.
 func (c *Coordinator) noteSilent(address string, err error) {
 	now := c.clock.Now()
@@ -149,6 +178,9 @@
 // something new: a leader other than the lost one, or anything that the sender lacks.
 func (c *Coordinator) relay(ctx context.Context, args *peerapi.SyncArgs) *peerapi.SyncReply {
 	begun := c.clock.Now()
+	if args.Starting {
+		return c.whatIsKnown(args)
+	}
 	if !c.current(args) {
 		return &peerapi.SyncReply{}
 	}
@@ -168,6 +200,17 @@
 	return reply
 }
 
+// whatIsKnown tells what this instance knows, with its age.
+func (c *Coordinator) whatIsKnown(args *peerapi.SyncArgs) *peerapi.SyncReply {
+	knownAt := c.board.KnownAt()
+	if knownAt == clock.Never {
+		return &peerapi.SyncReply{}
+	}
+	reply := c.news(args, c.board.Load())
+	reply.Age = c.clock.Now().Sub(knownAt)
+	return reply
+}
+
 // current reports whether this instance may speak as a relay to the sender of a question.
 func (c *Coordinator) current(args *peerapi.SyncArgs) bool {
 	now := c.clock.Now()
--- a/coordination/lead/relay_test.go
+++ b/coordination/lead/relay_test.go
@@ -15,6 +15,7 @@
 	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
+	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/state/store"
 )
 
@@ -108,6 +109,27 @@
 	})
 })
 
+var _ = Describe("an instance that starts while the store is away", func() {
+	// Symptom: it serves nobody until the store is back. Sequence: the leading instance is killed
+	// and starts again; the others know rules and targets, and none of them leads. Cause: only a
+	// leader, or a relay that had read the lease a moment ago, told it anything.
+	It("learns from any other what that knows, with its age", func() {
+		_, all, s := fleet(3)
+		known := all["a00"].board.KnownAt()
+		starts := New(Config{Self: view.Instance{ID: "new", Address: "a09"}, Seeds: []string{"a09", "nobody", "a01"}}, clock.System{}, s, view.NewBoard(clock.System{}), all, nil, demand.NewCollector(), quiet)
+		set, err := rules.Parse("rules", "")
+		Expect(err).NotTo(HaveOccurred())
+		starts.config.Source.DecodeRules = func([]byte) (uint64, *rules.Set, error) { return 3, set, nil }
+		all["a01"].board.SetRules(3, set, []byte("text"), known)
+		starts.askAnybody(context.Background())
+		Expect(starts.board.Load().Targets).To(HaveLen(2))
+		Expect(starts.board.Load().RulesVersion).To(Equal(uint64(3)))
+		Expect(starts.board.Load().Instances).To(HaveLen(3))
+		Expect(starts.board.KnownAt()).To(BeNumerically("~", known, time.Second))
+		Expect(starts.Leader()).To(Equal(lease.Row{}))
+	})
+})
+
 var _ = Describe("reading the store", func() {
 	// Symptom: a target gets a request 2.06 s after it left. Sequence: the leading instance is
 	// cut off from the store; a follower to which the store once did not answer goes on
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -20,10 +20,10 @@
 
 // readStored reads the lease and the maps as of one moment.
 func (c *Coordinator) readStored(ctx context.Context) (*stored, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, _, err := c.store.Scan(ctx, table, part)
-	c.noteStore(err)
+	rows, _, err := c.store.Scan(callCtx, table, part)
+	c.noteStore(ctx, err)
 	if err != nil {
 		return nil, err
 	}
--- a/instance/broker.go
+++ b/instance/broker.go
@@ -199,9 +199,12 @@
 	}
 	if !b.suspect(keeper.Address) {
 		reply, err := b.remote(ctx, keeper.Address, ask)
-		if err == nil {
+		if err == nil && !b.knowsLess(reply) {
 			return b.granted(keeper.Address, ask, reply)
 		}
+		if err == nil {
+			return b.own(ctx, b.spare, ask)
+		}
 		if ctx.Err() != nil {
 			b.peers.Release(keeper.Address, &peerapi.ReleaseArgs{Pool: ask.Pool(), Abandon: true, Report: permit.Report{ID: ask.ID}})
 			return permit.Permit{}, ctx.Err()
@@ -211,6 +214,13 @@
 	return b.own(ctx, b.spare, ask)
 }
 
+// knowsLess reports whether a keeper found no target because it has read less of the registry
+// than this instance. One that has just started while the store is away has read nothing: it
+// once refused all requests of a service for five seconds, though all targets were well.
+func (b *broker) knowsLess(reply *peerapi.AcquireReply) bool {
+	return !reply.Granted && reply.Reason == permit.ReasonNoTarget && reply.TargetsRead < b.board.TargetsRead()
+}
+
 func (b *broker) own(ctx context.Context, k *permit.Keeper, ask permit.Ask) (permit.Permit, error) {
 	p, err := k.Acquire(ctx, ask)
 	if err == nil {
--- a/instance/broker_test.go
+++ b/instance/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,6 +47,34 @@
 		Expect(err).To(MatchError(ContainSubstring(permit.ReasonNoTarget)))
 	})
 
+	// Symptom: every request of a service is refused with "no-target" for five seconds, by all
+	// instances, while its targets are well. Sequence: the store is away; the keeper of the
+	// service is killed and starts again, and cannot read the registry. Cause: its answer, made
+	// of nothing, went before what the others knew.
+	It("does not believe a keeper that knows less than it does", func() {
+		list(func(*view.Target) {})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ignorant := &Instance{board: view.NewBoard(clock.System{})}
+		ignorant.broker = newBroker(view.Instance{ID: "i2.2"}, clock.System{}, ignorant.board, nil, func(string, ...any) {})
+		server, err := peers.NewServer(listener, peers.Security{}, (*peerBackend)(ignorant))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		go server.Serve()
+		keeper := view.Instance{ID: "i2.1", Address: listener.Addr().String(), Weight: 1000}
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, []view.Instance{keeper})
+		ask := permit.Ask{ID: "1", Service: "keyed", Rule: "r", AimLeft: time.Second, Left: time.Second}
+		p, err := b.Acquire(context.Background(), ask)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Target).To(Equal("k1"))
+
+		// One that knows as much is believed.
+		ignorant.board.SetTargets(board.TargetsRead(), nil, clock.System{}.Now())
+		ask.ID = "2"
+		_, err = b.Acquire(context.Background(), ask)
+		Expect(err).To(MatchError(ContainSubstring(permit.ReasonNoTarget)))
+	})
+
 	It("finds the same keeper for a group from any list of the same instances", func() {
 		many := []view.Instance{{ID: "a", DataCentre: "dc1", Weight: 0.2}, {ID: "b", DataCentre: "dc0", Weight: 0.2}, {ID: "c", DataCentre: "dc0", Weight: 0.8}}
 		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, many)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -239,10 +239,15 @@
 	rotationTime = 2700 * time.Millisecond
 	// waitReserve is kept of the grace when the requests that wait are refused, workReserve
 	// when those that targets work on are answered, stopReserve for closing. Targets may be
-	// at work until the last sixth of the grace.
-	waitReserve = 800 * time.Millisecond
-	workReserve = 350 * time.Millisecond
-	stopReserve = 150 * time.Millisecond
+	// at work until the last sixth of the grace. On a busy machine with a third of a core closing
+	// takes some tenths of a second: with 150 ms for it two processes of eleven were still there
+	// when their grace of 6 s was over.
+	waitReserve = 950 * time.Millisecond
+	workReserve = 550 * time.Millisecond
+	stopReserve = 300 * time.Millisecond
+	// closeWait bounds the wait for what the instance runs to end: a call that does not heed its
+	// context, or a log that nobody reads, must not keep a process that has nothing left to do.
+	closeWait = 200 * time.Millisecond
 )
 
 // Stop shuts the instance down: it fails its health checks first, goes on serving until the
@@ -282,8 +287,16 @@
 	i.admin.Close()
 	i.peerServer.Close()
 	i.peerClient.Close()
-	i.running.Wait()
-	i.log.Close()
+	ended := make(chan struct{})
+	go func() {
+		i.running.Wait()
+		i.log.Close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(closeWait):
+	}
 }
 
 // peerBackend answers other instances.
@@ -310,7 +323,7 @@
 	}
 	var refused *permit.RefusedError
 	if errors.As(err, &refused) {
-		return &peerapi.AcquireReply{Reason: refused.Reason, RetryAfter: refused.RetryAfter}
+		return &peerapi.AcquireReply{Reason: refused.Reason, RetryAfter: refused.RetryAfter, TargetsRead: b.board.TargetsRead()}
 	}
 	return &peerapi.AcquireReply{Reason: "stopping", RetryAfter: time.Second}
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,6 +18,9 @@
 
 	"lycheehall.example/lycheehall/examples"
 	"lycheehall.example/lycheehall/instance"
+	"lycheehall.example/lycheehall/platform"
+	"lycheehall.example/lycheehall/settings"
+	"lycheehall.example/lycheehall/state/store"
 	"lycheehall.example/lycheehall/transport/admin"
 )
 
@@ -41,6 +45,24 @@
 	return string(body)
 }
 
+// deafStore answers no call, and does not heed contexts.
+type deafStore struct{ hang chan struct{} }
+
+func (s deafStore) Commit(context.Context, store.Txn) (uint64, error) {
+	<-s.hang
+	return 0, store.ErrUnknown
+}
+
+func (s deafStore) Scan(context.Context, string, string) ([]store.Row, uint64, error) {
+	<-s.hang
+	return nil, 0, store.ErrUnknown
+}
+
+func (s deafStore) Feed(context.Context, string, uint64, time.Duration) ([]store.Row, uint64, error) {
+	<-s.hang
+	return nil, 0, store.ErrUnknown
+}
+
 var _ = Describe("an instance", func() {
 	// Symptom: whoever reaches the port can change the rules.
 	It("obeys only operators with the token", func() {
@@ -107,6 +129,28 @@
 		Expect(resp.StatusCode).To(Equal(400))
 	})
 
+	// Symptom: a process is still there when its grace is over, and is killed in whatever it does.
+	// Sequence: SIGTERM comes while the store does not answer and nobody reads the log. Cause: the
+	// end waited for both.
+	It("ends within its grace whatever hangs", func() {
+		s := settings.Default()
+		s.Listen, s.Peer, s.Admin, s.Readiness = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		s.Grace = settings.Duration(3500 * time.Millisecond)
+		p := platform.NewWithOwnRules("127.0.0.1:1")
+		hang := make(chan struct{})
+		DeferCleanup(func() { close(hang) })
+		p.Store = deafStore{hang}
+		reader, writer, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(reader.Close)
+		i, err := instance.New(s, p, writer)
+		Expect(err).NotTo(HaveOccurred())
+		i.Start()
+		begun := time.Now()
+		i.Stop(context.Background())
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Duration(s.Grace)))
+	})
+
 	// Symptom: a change of the settings is not noticed, or a broken file stops an instance.
 	// Sequence: the file is replaced without a signal, broken, and put right with SIGHUP.
 	It("reads its settings again, and keeps the last good ones", func() {
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -42,6 +42,9 @@
 	Pace []Pace
 	// Lost is the holder of the lease that the sender found not to lead any more.
 	Lost string
+	// Starting says that the sender knows nothing and cannot read the store: whatever is known
+	// is of use to it, however old.
+	Starting bool
 	// Leaving says that the sender shuts down and takes no duties.
 	Leaving bool
 	// Lamport is the sender's time of the time line.
@@ -109,6 +112,9 @@
 	Permit     permit.Permit
 	Reason     string
 	RetryAfter time.Duration
+	// TargetsRead is the version of the store as of which the keeper knows the targets. A
+	// keeper that knows less than who asks is no authority on there being none.
+	TargetsRead uint64
 }
 
 // ReleaseArgs gives a permit back, or withdraws an ask that is still waiting.
