Send no order twice under a fence that a target may have taken; renew silent targets no further

Change: an order without an answer is followed by one under a higher fence; pieces inherit what is known of their parts; notes of changes that were not stored are dropped.

--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -68,6 +68,13 @@
 	return h
 }
 
+// holdWithin returns the longest hold of an order sent now that surely ends by heldUntil, however
+// late within its time the order takes effect.
+func (h *holder) holdWithin(now clock.Instant) time.Duration {
+	left := h.heldUntil.Sub(now) - holdSlack - orderTime
+	return time.Duration(float64(left) / (1 + clockTolerance))
+}
+
 // holdEnd is how long after it was sent a grant has surely run out.
 func holdEnd(hold time.Duration) time.Duration {
 	return hold + time.Duration(float64(hold)*clockTolerance) + holdSlack
@@ -105,23 +112,40 @@
 	}
 }
 
-// inherit gives the pieces that a range was cut into what is known of its last renewal.
+// inherit gives pieces that were cut out of others, or joined from them, under the same fence
+// what is known of the last renewal of those.
 func (m *Manager) inherit(live map[piece]bool) {
-	byFence := map[uint64][]piece{}
+	former := map[uint64][]piece{}
 	for p := range m.renewals {
 		if !live[p] {
-			byFence[p.fence] = append(byFence[p.fence], p)
+			former[p.fence] = append(former[p.fence], p)
 		}
 	}
 	for p := range live {
-		for _, whole := range byFence[p.fence] {
-			if m.renewals[p] == nil && whole.from <= p.from && p.to <= whole.to {
-				m.renewals[p] = &renewal{at: m.renewals[whole].at, heldAt: m.renewals[whole].heldAt}
+		if m.renewals[p] != nil {
+			continue
+		}
+		for _, q := range former[p.fence] {
+			if q.from <= p.to && p.from <= q.to {
+				m.renewals[p] = m.renewals[q].passedOn(m.renewals[p])
 			}
 		}
 	}
 }
 
+// passedOn returns the state for another piece under the same fence, of which earlier is known
+// already from a part of it. The answer to an order that is under way concerns a piece that is no
+// more.
+func (r *renewal) passedOn(earlier *renewal) *renewal {
+	next := &renewal{at: r.at, heldAt: r.heldAt, over: r.over || r.at != clock.Never && r.heldAt == clock.Never}
+	if earlier != nil {
+		next.at = min(next.at, earlier.at)
+		next.heldAt = min(next.heldAt, earlier.heldAt)
+		next.over = next.over || earlier.over
+	}
+	return next
+}
+
 func (m *Manager) mentioned(id string) bool {
 	return slices.ContainsFunc(m.current.Ranges, func(r keyrange.Range) bool { return r.Owner == id || r.Next == id })
 }
@@ -132,8 +156,16 @@
 	m.adopt(stored)
 }
 
-// NotStored notes that the proposed map was not stored.
-func (m *Manager) NotStored() { m.proposed = nil }
+// NotStored notes that the proposed map was not stored. What was noted of moves that begin with
+// it is forgotten: the next proposal has the same version, and may begin others under it.
+func (m *Manager) NotStored() {
+	m.proposed = nil
+	for p := range m.moves {
+		if p.fence > m.current.Version {
+			delete(m.moves, p)
+		}
+	}
+}
 
 // SetTargets takes the believed targets of the service.
 func (m *Manager) SetTargets(now clock.Instant, list []view.Target) {
@@ -202,7 +234,7 @@
 	m.noteHealth(now, h, outcome)
 	switch o.Kind {
 	case Renew:
-		m.renewed(piece{o.From, o.To, o.Fence}, h, outcome)
+		m.renewed(o, h, outcome)
 	case Grant:
 		if mv := m.moves[piece{o.From, o.To, o.Fence}]; mv != nil {
 			mv.note(now, o.Kind, outcome, handover)
@@ -251,7 +283,8 @@
 
 // renewed notes the outcome of a renewal. One that meets a higher fence is asked for again
 // by way of a move to the same owner, which raises the fence.
-func (m *Manager) renewed(p piece, h *holder, outcome Outcome) {
+func (m *Manager) renewed(o Order, h *holder, outcome Outcome) {
+	p := piece{o.From, o.To, o.Fence}
 	r := m.renewals[p]
 	if r == nil {
 		return
@@ -260,11 +293,17 @@
 	switch outcome {
 	case Done:
 		r.heldAt = r.at
+		if o.Hold < min(Hold, m.config.HoldMax) {
+			// The target answers again: it gets its usual hold at once.
+			r.at = clock.Never
+		}
 	case HigherFence:
-		delete(m.renewals, p)
+		r.over = true
 		m.moves[p] = &move{refused: true}
 	case Unverified:
 		h.unverified = true
+	case Unknown:
+		r.over = o.Since == clock.Never
 	}
 }
 
@@ -286,6 +325,7 @@
 		mv.granted = true
 	case Unknown:
 		mv.offered = true
+		mv.unanswered = true
 	case HigherFence:
 		mv.refused = true
 	}
@@ -342,9 +382,19 @@
 		state = &renewal{at: clock.Never, heldAt: clock.Never}
 		m.renewals[p] = state
 	}
+	if state.over {
+		h.unverified = true
+		return orders
+	}
 	if state.underWay || h.ended || h.target.Address == "" || state.at != clock.Never && now.Sub(state.at) < RenewEvery {
 		return orders
 	}
+	if h.failing() {
+		hold = min(hold, h.holdWithin(now))
+		if hold < leastHold {
+			return orders
+		}
+	}
 	state.underWay = true
 	state.at = now
 	h.granting++
@@ -375,7 +425,7 @@
 		return append(orders, m.order(Release, r, owner, r.NextFence, 0, ""))
 	}
 	next := m.holder(r.Next)
-	if mv.granted || mv.granting || mv.refused || now < mv.retryAt || next.ended || next.target.Address == "" {
+	if mv.granted || mv.granting || mv.unanswered || mv.refused || now < mv.retryAt || next.ended || next.target.Address == "" {
 		return orders
 	}
 	mv.granting = true
--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -24,7 +24,7 @@
 			m.conclude(e, now, r)
 		case m.refusedRenewal(r):
 			e.Move(r.From, r.To, r.Owner, false)
-		case m.holder(r.Owner).restarted:
+		case m.holder(r.Owner).answersStill():
 			orphans = append(orphans, r)
 		case m.unreachable(now, r):
 			lost = append(lost, r)
@@ -61,6 +61,17 @@
 	}
 }
 
+// answersStill reports whether a target that is no longer listed can be asked to give its keys
+// up: it was started again, or is cut off from the registry only. Its keys change hands within
+// the time that running work takes, for which requests wait; those of a target that is lost are
+// refused at once.
+func (h *holder) answersStill() bool {
+	if h.listed || h.ended || h.target.Address == "" {
+		return false
+	}
+	return h.restarted || !h.failing()
+}
+
 // conclude ends a move whose next owner has the keys, or gives it another next owner.
 func (m *Manager) conclude(e *keyrange.Editor, now clock.Instant, r keyrange.Range) {
 	mv := m.move(now, r)
@@ -70,7 +81,13 @@
 		return
 	}
 	gone := next.ended || next.lost(now) || !next.listed || next.target.Draining
-	if !mv.released || mv.granting || !gone && !mv.refused {
+	if !mv.released || mv.granting || !gone && !mv.refused && !mv.unanswered {
+		return
+	}
+	if !gone && !mv.refused {
+		if now >= mv.retryAt {
+			m.offerAnew(e, r, mv)
+		}
 		return
 	}
 	target := r.Next
@@ -94,6 +111,14 @@
 	m.moves[piece{r.From, r.To, e.Version()}] = &move{released: true, handover: mv.handover, retryAt: clock.Never, begun: mv.begun}
 }
 
+// offerAnew offers a range to the same next owner under a higher fence.
+func (m *Manager) offerAnew(e *keyrange.Editor, r keyrange.Range, mv *move) {
+	e.Move(r.From, r.To, r.Next, r.Lost)
+	m.moves[piece{r.From, r.To, e.Version()}] = &move{released: true, offered: true, handover: mv.handover, retryAt: clock.Never, begun: mv.begun}
+	// Also if the change is not stored: the keys are then released first.
+	mv.refused = true
+}
+
 // refusedRenewal reports whether the owner of a range refused to keep it under its fence. It
 // gets the keys again under a higher one.
 func (m *Manager) refusedRenewal(r keyrange.Range) bool {
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -21,6 +21,13 @@
 	holdSlack = 200 * time.Millisecond
 	// clockTolerance is the part by which a target's clock may run slow.
 	clockTolerance = 0.02
+	// orderTime is the longest time from the sending of a grant to its outcome: a turn, a
+	// connection and the answer.
+	orderTime = 1500 * time.Millisecond
+	// leastHold is the shortest hold that is worth an order. A target that does not answer is
+	// renewed only as far as it would hold its keys anyhow: each renewal that it may have got
+	// would otherwise put off the time at which they can be given to another.
+	leastHold = 300 * time.Millisecond
 	// lostAfter is how long a target must have failed to answer orders before its keys are
 	// given to others. One order timeout is not enough: targets are slow at times.
 	lostAfter = 1200 * time.Millisecond
@@ -140,6 +147,9 @@
 	underWay bool
 	// heldAt is when the last order was sent after which the target had the keys.
 	heldAt clock.Instant
+	// over says that no order goes out under this fence again: the first one got no answer, as
+	// with move.unanswered, or the target has seen a higher fence.
+	over bool
 }
 
 // move is the state of a range that changes hands.
@@ -151,6 +161,9 @@
 	// offered says that the next owner may have got the grant.
 	offered bool
 	granted bool
+	// unanswered says that a grant got no answer. The next one goes out under a higher fence:
+	// the target may have taken this one, ended, and started again.
+	unanswered bool
 	// refused says that the next owner cannot take it under this fence.
 	refused bool
 	retryAt clock.Instant
