Keep repeats for callers who do not come back

Ruled out: asking the same target without the budget (it counts there too). Change: those with time to come back use at most half of what may be used; four fifths of the budget are used in place of three.

--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -374,7 +374,7 @@
 
 	repeats := func(b *Budget, instances int) int {
 		n := 0
-		for n < 1000 && b.Repeat("s", instances) {
+		for n < 1000 && b.Repeat("s", instances, true) {
 			n++
 		}
 		return n
@@ -388,6 +388,22 @@
 		Expect(repeats(b, 12)).To(BeNumerically("~", budgetUse*(200+5), 1))
 	})
 
+	// Symptom: callers whose targets all refuse half of what they get are refused twice. Sequence:
+	// repeats are spent on first tries, whose callers would have come back; none are left for
+	// those that have.
+	It("is kept in part for callers who do not come back", func() {
+		b := NewBudget(&handClock{now: clock.Instant(time.Hour)}, config)
+		for range 1000 {
+			b.Request("s")
+		}
+		first := 0
+		for first < 1000 && b.Repeat("s", 12, false) {
+			first++
+		}
+		Expect(first).To(BeNumerically("~", firstUse*budgetUse*205, 1))
+		Expect(repeats(b, 12)).To(BeNumerically("~", (1-firstUse)*budgetUse*205, 2))
+	})
+
 	// Symptom: services get more repeats than allowed after all instances were killed.
 	// Sequence: each starts anew and takes the whole slack. Cause: none knows of the others.
 	It("has no slack while the number of instances is not known", func() {
@@ -398,11 +414,11 @@
 	It("comes back as the window moves on", func() {
 		c := &handClock{now: clock.Instant(time.Hour)}
 		b := NewBudget(c, config)
-		Expect(repeats(b, 12)).To(Equal(3))
+		Expect(repeats(b, 12)).To(Equal(4))
 		c.now = c.now.Add(5 * time.Second)
 		Expect(repeats(b, 12)).To(BeZero())
 		c.now = c.now.Add(6 * time.Second)
-		Expect(repeats(b, 12)).To(Equal(3))
+		Expect(repeats(b, 12)).To(Equal(4))
 	})
 })
 
--- a/transport/front/policy.go
+++ b/transport/front/policy.go
@@ -41,7 +41,12 @@
 	budgetParts = 10
 	// budgetUse is the part of the budget that is used. Windows of whoever counts do not
 	// begin where ours do, and an instance that restarts forgets what it has spent.
-	budgetUse = 0.6
+	budgetUse = 0.8
+	// firstUse is the part of what may be used that goes to callers who have time to come back.
+	// While all targets of a service refuse half of what they get, repeats run short; one that is
+	// spent on a caller who comes back by itself anyhow gains half as much as one that is spent
+	// on a caller whose last try it is.
+	firstUse = 0.5
 )
 
 type budgetWindow struct {
@@ -91,10 +96,11 @@
 	w.requests[w.part%budgetParts]++
 }
 
-// Repeat takes one repeat out of the budget, if there is one left. While the number of
+// Repeat takes one repeat out of the budget, if there is one left. Last says that the caller has
+// no time to come back, so that this is its last chance. While the number of
 // instances is not known, 0, there is nothing beside the share: many instances that start
 // at the same moment would each take the whole.
-func (b *Budget) Repeat(service string, instances int) bool {
+func (b *Budget) Repeat(service string, instances int, last bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
@@ -108,6 +114,9 @@
 		allowed += b.config.Slack / float64(instances)
 	}
 	allowed *= budgetUse
+	if !last {
+		allowed *= firstUse
+	}
 	if repeats+1 > allowed {
 		return false
 	}
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -129,5 +129,11 @@
 	if len(c.targets) >= c.then.MaxAttempts || time.Until(c.deadline) < expected || ctx.Err() != nil {
 		return false
 	}
-	return c.h.budget.Repeat(c.service.Name, len(c.snapshot.Instances))
+	return c.h.budget.Repeat(c.service.Name, len(c.snapshot.Instances), c.isLast(expected))
+}
+
+// isLast reports whether the caller has no use for a refusal that tells it to come back: it has
+// done so already, or its time would be over by then.
+func (c *call) isLast(expected time.Duration) bool {
+	return c.unknown || c.returning || time.Until(c.deadline) < refusedRetry+2*expected
 }
