Look at the balance twice as often

Hypothesis: hot ranges are seen late. Tried: (a) a load averaged over 0.8 s beside that over 3 s, taken for blocks of 128 keys where the two are four standard deviations apart; (b) looks at load and balance every 250 and 350 ms in place of 500 and 700. Conclusion: (a) reverted, worth nothing; (b) kept.

--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -38,7 +38,7 @@
 	// each try: 15 in 0.2 s were seen.
 	anewEvery = 500 * time.Millisecond
 	// balanceEvery is the time between looks at the balance.
-	balanceEvery = 700 * time.Millisecond
+	balanceEvery = 350 * time.Millisecond
 	// settleFor is how long the first targets of a service are awaited, so that they do not
 	// all have to move at once as others come.
 	settleFor = 700 * time.Millisecond
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -181,7 +181,7 @@
 }
 
 // loadEvery is the time between looks at the load.
-const loadEvery = 500 * time.Millisecond
+const loadEvery = 250 * time.Millisecond
 
 func (t *term) refreshLoad(now clock.Instant) {
 	if t.loadAt != clock.Never && now.Sub(t.loadAt) < loadEvery {
