--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -26,6 +26,8 @@
 	work  map[workKey]float32
 	pace  map[string]*peerapi.Pace
 	means map[string]time.Duration
+	// sizes are the mean sizes of the answers of each rule, in bytes.
+	sizes map[string]float64
 }
 
 type workKey struct {
@@ -35,7 +37,7 @@
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}}
+	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}, sizes: map[string]float64{}}
 }
 
 // Arrived notes a request for a key.
@@ -59,10 +61,22 @@
 	return c.mean(rule)
 }
 
-// Answered notes how long a target took for a request.
-func (c *Collector) Answered(target, rule string, took time.Duration) {
+// Size returns the mean size of a rule's answers, in bytes; 0 before the first one.
+func (c *Collector) Size(rule string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.sizes[rule]
+}
+
+// Answered notes how long a target took for a request, and the size of its answer in bytes.
+func (c *Collector) Answered(target, rule string, took time.Duration, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if mean, known := c.sizes[rule]; known {
+		c.sizes[rule] = mean + smoothing*(float64(size)-mean)
+	} else {
+		c.sizes[rule] = float64(size)
+	}
 	mean, known := c.means[rule]
 	if !known {
 		c.means[rule] = took
