Tell the longest hold where a leader that gives up had no manager for a service

Found by reading. Ruled out: refusing to give up without rules, which leaves the service waiting for the lease. Change: services that are stored and have no manager count as held for the longest hold.

--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -70,6 +70,9 @@
 	return h
 }
 
+// LongestHeld is how long after it was sent a grant with the longest hold has surely run out.
+func LongestHeld(holdMax time.Duration) time.Duration { return holdEnd(holdMax) }
+
 // formerHeld is when what former leading instances granted has surely run out.
 func (m *Manager) formerHeld() clock.Instant {
 	longest := m.tookOver.Add(holdEnd(m.config.HoldMax))
--- a/coordination/lead/vacate.go
+++ b/coordination/lead/vacate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/assign"
 	"lycheehall.example/lycheehall/coordination/lease"
 )
 
@@ -69,10 +70,7 @@
 	t.holder.Drop()
 	t.mu.Unlock()
 	t.ended = true
-	held := now
-	for _, m := range t.managers {
-		held = held.Later(m.HeldUntil(now))
-	}
+	held := t.heldUntil(now)
 	t.c.mu.Lock()
 	t.c.vacated = vacated{t.stored.lease.Term, held}
 	t.c.mu.Unlock()
@@ -80,6 +78,21 @@
 	t.stopOnce.Do(func() { close(t.stop) })
 }
 
+// heldUntil returns when everything granted in this term, and before it, has run out.
+func (t *term) heldUntil(now clock.Instant) clock.Instant {
+	held := now
+	for _, m := range t.managers {
+		held = held.Later(m.HeldUntil(now))
+	}
+	for service := range t.stored.maps {
+		if t.managers[service] == nil {
+			// The rules are not known here yet; former leading instances may have granted its keys.
+			held = held.Later(now.Add(assign.LongestHeld(t.c.config.HoldMax)))
+		}
+	}
+	return held
+}
+
 // vacatedWord returns the term that was given up by word, as far as is known here, and how long
 // until everything granted in it has run out.
 func (c *Coordinator) vacatedWord() (term uint64, held time.Duration) {
--- a/coordination/lead/vacate_test.go
+++ b/coordination/lead/vacate_test.go
@@ -88,6 +88,17 @@
 		Expect(next.formerHeld).To(BeNumerically("<", follower.clock.Now().Add(time.Second)), "nothing was granted")
 	})
 
+	// Symptom: two targets hold the same keys. Sequence: an instance leads before it knows the
+	// rules, and gives the lease up; the next one gives on the keys of a lost target at once.
+	// Cause: what it had no manager for counted as held by nobody.
+	It("tells the longest hold for services whose rules it does not know", func() {
+		begin(900*time.Millisecond, 0)
+		leader.config.HoldMax = 10 * time.Second
+		leads.stored.maps = map[string]*keyrange.Map{"s": keyrange.Empty()}
+		now := leader.clock.Now()
+		Expect(leads.heldUntil(now).Sub(now)).To(BeNumerically(">", 10*time.Second))
+	})
+
 	It("goes on while a renewal is not overdue", func() {
 		begin(100*time.Millisecond, 0)
 		follower.answeredAt = follower.clock.Now()
