--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -14,9 +14,9 @@
 	// of 2 s that followers have known for up to 0.35 s less, looks at it and a bid.
 	changeTime = 3 * time.Second
 	// renewSoonest and renewLatest bound the time between renewals of a grant, which is
-	// renewEach for each range. A grant holds for changeTime beyond that, which bounds the time
-	// for which the keys of a crashed target stay unserved; a leading instance with a sixth of a
-	// core carries out some 600 orders a second.
+	// renewEach for each range, so that a leading instance sends no more than 625 renewals a
+	// second for up to 625 ranges. A grant holds for changeTime beyond that, which bounds the time
+	// for which the keys of a crashed target stay unserved.
 	renewSoonest = 500 * time.Millisecond
 	renewLatest  = time.Second
 	renewEach    = 1600 * time.Microsecond
