Start a process of the soak once when two faults overlap

Found after a run of the tests: two targets and an instance of the soak were still there, fifty minutes after it had ended. Cause: a process that is killed, and told to end before it has been started again, was started by both faults; the second process took the place of the first, could not listen, and the first was never ended. Ruled out: the end of the soak, which ends all that it knows. Change: a process that runs is not started. Test: fails without the change (another process id).

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -28,9 +28,14 @@
 	ended   chan struct{}
 }
 
+// start starts the process, unless it runs. Two faults that overlap each start it again; a second
+// process beside the first would fail to listen, and the first one would never be ended.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.runs() {
+		return nil
+	}
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
@@ -48,6 +53,19 @@
 	return nil
 }
 
+// runs reports whether the process has been started and not ended. The caller holds the lock.
+func (p *process) runs() bool {
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal, if the process runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os/exec"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,6 +71,23 @@
 		}
 	})
 
+	// Symptom: processes are still there minutes after the soak has ended. Sequence: a target is
+	// killed, and told to end before it has been started again; both faults start it. Cause: the
+	// second process took the place of the first one, which ran on and was forgotten.
+	It("starts a process once when two faults overlap", func() {
+		p := &process{name: "sleep", path: "/bin/sleep", args: []string{"60"}}
+		Expect(p.start()).To(Succeed())
+		first := p.cmd.Process.Pid
+		Expect(p.start()).To(Succeed())
+		Expect(p.cmd.Process.Pid).To(Equal(first))
+		p.signal(syscall.SIGKILL)
+		p.end(time.Second)
+		Expect(p.start()).To(Succeed())
+		Expect(p.cmd.Process.Pid).NotTo(Equal(first))
+		p.signal(syscall.SIGKILL)
+		p.end(time.Second)
+	})
+
 	It("finds nothing wrong on seeds that have failed", func() {
 		programs := build()
 		for _, r := range regressions {
