Renew over the connection that carried the grant; wait for one that is in use

Traced with the instances' logs: every first renewal after a grant ended as unverified. Cause: a grant counted as held from the decision to send it, before its connection was made, so that this connection was younger than what it had granted; each grant was followed by a raised fence and a change of the map, and while the store is away, when no map can change, the keys were not renewed at all. Ruled out: load (it fails alone). Change: an order says when it was sent, after its connection was made; an order that asks for an old connection waits up to 0.4 s for one in use.

--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -195,7 +195,7 @@
 		if mv := m.moves[piece{o.From, o.To, o.Fence}]; mv != nil {
 			mv.note(now, o.Kind, outcome, handover)
 			if mv.granted {
-				m.renewals[piece{o.From, o.To, o.Fence}] = &renewal{at: mv.grantSentAt, heldAt: mv.grantSentAt}
+				m.renewals[piece{o.From, o.To, o.Fence}] = &renewal{at: o.SentAt, heldAt: o.SentAt}
 			}
 		}
 	case Release:
@@ -300,10 +300,10 @@
 	})
 }
 
-func (m *Manager) order(kind Kind, r keyrange.Range, h *holder, fence uint64, hold time.Duration, handover string) Order {
+func (m *Manager) order(now clock.Instant, kind Kind, r keyrange.Range, h *holder, fence uint64, hold time.Duration, handover string) Order {
 	return Order{
 		Kind: kind, Service: m.config.Service, Target: cmp.Or(h.target.ID, r.Owner), Address: h.target.Address,
-		From: r.From, To: r.To, Fence: fence, Hold: hold, Handover: handover, Since: clock.Never,
+		From: r.From, To: r.To, Fence: fence, Hold: hold, Handover: handover, SentAt: now, Since: clock.Never,
 	}
 }
 
@@ -319,16 +319,15 @@
 			return orders
 		}
 		mv.releasing = true
-		return append(orders, m.order(Release, r, owner, r.NextFence, 0, ""))
+		return append(orders, m.order(now, Release, r, owner, r.NextFence, 0, ""))
 	}
 	next := m.holder(r.Next)
 	if mv.granted || mv.granting || mv.unanswered || mv.refused || now < mv.retryAt || next.ended || next.target.Address == "" {
 		return orders
 	}
 	mv.granting = true
-	mv.grantSentAt = now
 	next.granting++
-	return append(orders, m.order(Grant, r, next, r.NextFence, hold, mv.handover))
+	return append(orders, m.order(now, Grant, r, next, r.NextFence, hold, mv.handover))
 }
 
 func (m *Manager) move(now clock.Instant, r keyrange.Range) *move {
--- a/coordination/assign/renew.go
+++ b/coordination/assign/renew.go
@@ -89,7 +89,7 @@
 	state.underWay = true
 	state.at = now
 	h.granting++
-	o := m.order(Renew, r, h, r.Fence, hold, "")
+	o := m.order(now, Renew, r, h, r.Fence, hold, "")
 	o.Since = state.heldAt
 	return append(orders, o)
 }
@@ -105,7 +105,7 @@
 	r.underWay = false
 	switch outcome {
 	case Done:
-		r.heldAt = r.at
+		r.heldAt = o.SentAt
 		if o.Hold < changeTime {
 			// The target answers again: it gets its usual hold at once.
 			r.at = clock.Never
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -76,6 +76,8 @@
 	Fence    uint64
 	Hold     time.Duration
 	Handover string
+	// SentAt is when it was sent, over a connection that was open by then.
+	SentAt clock.Instant
 	// Since asks for a connection that was open then already: the target had the keys at that
 	// time, and whoever answers over such a connection is the same process. clock.Never: any
 	// connection will do.
@@ -186,6 +188,4 @@
 	refused bool
 	retryAt clock.Instant
 	begun   clock.Instant
-	// grantSentAt is when the last grant was sent.
-	grantSentAt clock.Instant
 }
--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -26,7 +26,7 @@
 
 // Orders carries orders to targets.
 type Orders interface {
-	Do(ctx context.Context, o assign.Order) (outcome assign.Outcome, handover string)
+	Do(ctx context.Context, o assign.Order) (outcome assign.Outcome, handover string, sentAt clock.Instant)
 	Forget(keep func(target string) bool)
 }
 
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -197,7 +197,10 @@
 // send carries an order out beside the loop.
 func (t *term) send(ctx context.Context, o assign.Order) {
 	go func() {
-		outcome, handover := t.c.orders.Do(ctx, o)
+		outcome, handover, sentAt := t.c.orders.Do(ctx, o)
+		if outcome == assign.Done {
+			o.SentAt = sentAt
+		}
 		result := func() { t.finished(o, outcome, handover) }
 		select {
 		case t.done <- result:
--- a/coordination/lead/vacate_test.go
+++ b/coordination/lead/vacate_test.go
@@ -36,8 +36,10 @@
 // noOrders carries no orders.
 type noOrders struct{}
 
-func (noOrders) Do(context.Context, assign.Order) (assign.Outcome, string) { return assign.NotSent, "" }
-func (noOrders) Forget(func(string) bool)                                  {}
+func (noOrders) Do(context.Context, assign.Order) (assign.Outcome, string, clock.Instant) {
+	return assign.NotSent, "", clock.Never
+}
+func (noOrders) Forget(func(string) bool) {}
 
 var _ = Describe("a leading instance that the store does not answer", func() {
 	const held = 3
@@ -131,11 +133,11 @@
 	longest time.Duration
 }
 
-func (h *holdsOrdered) Do(_ context.Context, o assign.Order) (assign.Outcome, string) {
+func (h *holdsOrdered) Do(_ context.Context, o assign.Order) (assign.Outcome, string, clock.Instant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.longest = max(h.longest, o.Hold)
-	return assign.Done, ""
+	return assign.Done, "", clock.System{}.Now()
 }
 
 var _ = Describe("a leading instance that is stopped", func() {
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -67,12 +67,20 @@
 	// leads. A process that was stopped between the decision and the sending must not send.
 	may func() bool
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu      sync.Mutex
+	targets map[string]*connections
 	// turns holds a token for each grant under way to a target.
 	turns map[string]chan struct{}
 }
 
+// connections are those to one target.
+type connections struct {
+	idle []*conn
+	busy []*conn
+	// changed is closed when a busy one has become idle or was closed.
+	changed chan struct{}
+}
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -83,47 +91,50 @@
 
 // NewClient returns a client without connections.
 func NewClient(encoder Encoder, names wire.Names, c clock.Clock, may func() bool) *Client {
-	return &Client{encoder: encoder, names: names, clock: c, may: may, idle: map[string][]*conn{}, turns: map[string]chan struct{}{}}
+	return &Client{encoder: encoder, names: names, clock: c, may: may, targets: map[string]*connections{}, turns: map[string]chan struct{}{}}
 }
 
-// Do carries out an order and says what is known of its effect.
-func (c *Client) Do(ctx context.Context, o assign.Order) (assign.Outcome, string) {
+// Do carries out an order and says what is known of its effect, and when it was sent.
+func (c *Client) Do(ctx context.Context, o assign.Order) (outcome assign.Outcome, handover string, sentAt clock.Instant) {
 	if o.Kind != assign.Release {
 		done, err := c.turn(ctx, o.Target)
 		if err != nil {
-			return assign.NotSent, ""
+			return assign.NotSent, "", clock.Never
 		}
 		defer done()
 	}
 	cn, err := c.connect(ctx, o)
 	if errors.Is(err, errOnlyNew) {
-		return assign.Unverified, ""
+		return assign.Unverified, "", clock.Never
 	}
 	if err != nil || !c.may() {
 		if cn != nil {
 			c.keep(o.Target, cn)
 		}
-		return assign.NotSent, ""
+		return assign.NotSent, "", clock.Never
 	}
+	sentAt = c.clock.Now()
 	resp, err := c.exchange(cn, o)
 	if err != nil {
 		abort(cn)
-		return assign.Unknown, ""
+		c.forget(o.Target, cn)
+		return assign.Unknown, "", sentAt
 	}
 	if resp.Close {
 		cn.Close()
+		c.forget(o.Target, cn)
 	} else {
 		c.keep(o.Target, cn)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return assign.Done, c.encoder.Handover(resp.Header)
+		return assign.Done, c.encoder.Handover(resp.Header), sentAt
 	case http.StatusConflict:
-		return assign.HigherFence, ""
+		return assign.HigherFence, "", sentAt
 	case http.StatusMisdirectedRequest:
-		return assign.OtherTarget, ""
+		return assign.OtherTarget, "", sentAt
 	}
-	return assign.Unknown, ""
+	return assign.Unknown, "", sentAt
 }
 
 // errBusy says that earlier orders to the target took too long.
@@ -210,74 +221,139 @@
 // errOnlyNew says that no connection to the target has been open for as long as the order asks.
 var errOnlyNew = errors.New("orders: there is no connection from before")
 
+// oldWait bounds the wait for a connection that is old enough and in use. Renewals of one target
+// share few connections and come at the same time when all holds are extended; failing there and
+// then left keys unserved while the store was away. A release may keep one for seconds.
+const oldWait = 400 * time.Millisecond
+
 // connect returns a connection to the order's target.
 func (c *Client) connect(ctx context.Context, o assign.Order) (*conn, error) {
-	if cn := c.take(o); cn != nil {
-		return cn, nil
-	}
-	if o.Since != clock.Never {
-		return nil, errOnlyNew
+	timer := time.NewTimer(oldWait)
+	defer timer.Stop()
+	for {
+		cn, changed := c.take(o)
+		if cn != nil {
+			return cn, nil
+		}
+		if o.Since == clock.Never {
+			return c.dial(ctx, o)
+		}
+		if changed == nil {
+			return nil, errOnlyNew
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, errOnlyNew
+		case <-ctx.Done():
+			return nil, fmt.Errorf("orders: %w", ctx.Err())
+		}
 	}
+}
+
+func (c *Client) dial(ctx context.Context, o assign.Order) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", o.Address)
 	if err != nil {
 		return nil, fmt.Errorf("orders: %w", err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), openAt: c.clock.Now()}, nil
+	cn := &conn{Conn: raw, reader: bufio.NewReader(raw), openAt: c.clock.Now()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.target(o.Target)
+	t.busy = append(t.busy, cn)
+	return cn, nil
+}
+
+// target returns the connections to a target. The caller holds the lock.
+func (c *Client) target(id string) *connections {
+	t := c.targets[id]
+	if t == nil {
+		t = &connections{changed: make(chan struct{})}
+		c.targets[id] = t
+	}
+	return t
 }
 
 // take returns an idle connection that seems to be open, and has been for as long as the order
 // asks; the one that was opened last, so that the older ones are there for orders that ask more.
-func (c *Client) take(o assign.Order) *conn {
+// If there is none but one in use would do, it returns what is closed when that changes.
+func (c *Client) take(o assign.Order) (*conn, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	t := c.target(o.Target)
 	var kept []*conn
-	for _, cn := range c.idle[o.Target] {
+	for _, cn := range t.idle {
 		if time.Since(cn.usedAt) < idleFor && cn.reader.Buffered() == 0 && wire.Quiet(cn.Conn) {
 			kept = append(kept, cn)
 			continue
 		}
 		cn.Close()
 	}
+	t.idle = kept
 	best := -1
-	for i, cn := range kept {
-		old := o.Since == clock.Never || cn.openAt <= o.Since
-		if old && (best < 0 || cn.openAt > kept[best].openAt) {
+	for i, cn := range t.idle {
+		if cn.serves(o) && (best < 0 || cn.openAt > t.idle[best].openAt) {
 			best = i
 		}
 	}
-	var found *conn
 	if best >= 0 {
-		found = kept[best]
-		kept = slices.Delete(kept, best, best+1)
+		found := t.idle[best]
+		t.idle = slices.Delete(t.idle, best, best+1)
+		t.busy = append(t.busy, found)
+		return found, nil
 	}
-	c.idle[o.Target] = kept
-	return found
+	if slices.ContainsFunc(t.busy, func(cn *conn) bool { return cn.serves(o) }) {
+		return nil, t.changed
+	}
+	return nil, nil
+}
+
+// serves reports whether the connection has been open for as long as an order asks.
+func (cn *conn) serves(o assign.Order) bool { return o.Since == clock.Never || cn.openAt <= o.Since }
+
+// forget takes a connection that was closed out of use.
+func (c *Client) forget(target string, cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.target(target).free(cn)
+}
+
+// free takes a connection out of use. The caller holds the client's lock.
+func (t *connections) free(cn *conn) {
+	t.busy = slices.DeleteFunc(t.busy, func(other *conn) bool { return other == cn })
+	close(t.changed)
+	t.changed = make(chan struct{})
 }
 
 func (c *Client) keep(target string, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cn.usedAt = time.Now()
-	if len(c.idle[target]) >= maxIdle {
+	t := c.target(target)
+	t.free(cn)
+	if len(t.idle) >= maxIdle {
 		cn.Close()
 		return
 	}
-	c.idle[target] = append(c.idle[target], cn)
+	t.idle = append(t.idle, cn)
 }
 
 // Forget closes the idle connections to targets that are not in the list.
 func (c *Client) Forget(keep func(target string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for target, list := range c.idle {
+	for target, t := range c.targets {
 		if keep(target) {
 			continue
 		}
-		for _, cn := range list {
+		for _, cn := range t.idle {
 			cn.Close()
 		}
-		delete(c.idle, target)
+		t.idle = nil
+		if len(t.busy) == 0 {
+			delete(c.targets, target)
+		}
 	}
 	for target := range c.turns {
 		if !keep(target) {
--- a/transport/orders/orders_test.go
+++ b/transport/orders/orders_test.go
@@ -71,7 +71,7 @@
 			for n := range 20 {
 				round.Go(func() {
 					defer GinkgoRecover()
-					outcome, _ := c.Do(context.Background(), renewal(address, n))
+					outcome, _, _ := c.Do(context.Background(), renewal(address, n))
 					Expect(outcome).To(Equal(assign.Done))
 				})
 			}
@@ -86,7 +86,7 @@
 		requests := atomic.Int64{}
 		address, _ := countingTarget(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
 		c := NewClient(plain{}, names, clock.System{}, func() bool { return false })
-		outcome, _ := c.Do(context.Background(), renewal(address, 1))
+		outcome, _, _ := c.Do(context.Background(), renewal(address, 1))
 		Expect(outcome).To(Equal(assign.NotSent))
 		Expect(requests.Load()).To(BeZero())
 	})
@@ -105,11 +105,10 @@
 		do := func(since clock.Instant) assign.Outcome {
 			o := renewal(address, 1)
 			o.Since = since
-			outcome, _ := c.Do(context.Background(), o)
+			outcome, _, _ := c.Do(context.Background(), o)
 			return outcome
 		}
-		Expect(do(clock.Never)).To(Equal(assign.Done))
-		held := clock.System{}.Now()
+		_, _, held := c.Do(context.Background(), renewal(address, 1))
 		Expect(do(held)).To(Equal(assign.Done))
 		s.CloseClientConnections()
 		Expect(do(held)).To(Equal(assign.Unverified))
@@ -119,6 +118,28 @@
 		Expect(do(clock.System{}.Now())).To(Equal(assign.Done))
 	})
 
+	// Symptom: keys are unserved while the store is away. Sequence: all holds are extended at the
+	// same moment; a target has several ranges and one connection that is old enough. Cause: the
+	// first renewal took it, and the others were not sent.
+	It("wait for a connection that is old enough and in use", func() {
+		address, connections := countingTarget(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
+		c := NewClient(plain{}, names, clock.System{}, always)
+		c.Do(context.Background(), renewal(address, 0))
+		held := clock.System{}.Now()
+		var round sync.WaitGroup
+		for n := range 12 {
+			round.Go(func() {
+				defer GinkgoRecover()
+				o := renewal(address, n)
+				o.Since = held
+				outcome, _, _ := c.Do(context.Background(), o)
+				Expect(outcome).To(Equal(assign.Done))
+			})
+		}
+		round.Wait()
+		Expect(connections.Load()).To(Equal(int64(1)))
+	})
+
 	It("name the target by what it goes by itself", func() {
 		name := ""
 		address, _ := countingTarget(func(_ http.ResponseWriter, r *http.Request) { name = r.Header.Get("Target") })
@@ -140,7 +161,7 @@
 			http.StatusMisdirectedRequest: assign.OtherTarget, http.StatusInternalServerError: assign.Unknown,
 		} {
 			status = code
-			outcome, _ := c.Do(context.Background(), renewal(address, 1))
+			outcome, _, _ := c.Do(context.Background(), renewal(address, 1))
 			Expect(outcome).To(Equal(want))
 		}
 	})
