Tell how long a configuration took to decode, its size, and when it was known already

Logs could not tell apart three hypotheses for a configuration that came into force late: decoding too dear, decoded more than once, links full. Only versions that were adopted left a line, without time or size.

Each decoding is now counted by where it came from and whether it was new, with its time and bytes; rules-known is the line of one that was in force. No change of what is adopted.

--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -153,15 +153,13 @@
 		c.board.ConfirmRules(at)
 		return
 	}
-	version, set, err := c.config.Source.DecodeRules(reply.RulesText)
+	version, set, cost, err := decodeRules(c.config.Source, reply.RulesText)
 	if err != nil {
-		c.log("rules-refused", "error", err.Error(), "from", "leader")
+		c.log("rules-refused", "error", err.Error(), "from", fromLeader)
 		return
 	}
-	if c.board.SetRules(version, set, reply.RulesText, at) {
-		c.log("rules-adopted", "rules", version, "from", "leader", "age_ms", c.clock.Now().Sub(at).Milliseconds())
-		tellNotes(c.log, version, set)
-	}
+	adopted := c.board.SetRules(version, set, reply.RulesText, at)
+	tellRules(c.log, version, set, adopted, fromLeader, cost, c.clock.Now().Sub(at))
 }
 
 // adoptTargets takes over the targets that another instance believes. It reports whether they
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
@@ -90,7 +88,7 @@
 }
 
 func (r *reader) adoptRules(row store.Row, at clock.Instant) {
-	version, set, err := r.source.DecodeRules(row.Value)
+	version, set, cost, err := decodeRules(r.source, row.Value)
 	if err != nil {
 		if r.badRules != row.Version {
 			r.badRules = row.Version
@@ -98,25 +96,8 @@
 		}
 		return
 	}
-	if r.board.SetRules(version, set, row.Value, at) {
-		r.log("rules-adopted", "rules", version, "from", "store")
-		tellNotes(r.log, version, set)
-	}
-}
-
-// toldNotes bounds the lines about one configuration.
-const toldNotes = 8
-
-var rulesNotUnderstood = metrics.GetOrCreateGauge("lycheehall_rules_not_understood", nil)
-
-// tellNotes tells operators what of a configuration in force was not understood. The callers
-// concerned see no more than refusals.
-func tellNotes(log Log, version uint64, set *rules.Set) {
-	notes := set.Notes()
-	rulesNotUnderstood.Set(float64(len(notes)))
-	for _, note := range notes[:min(toldNotes, len(notes))] {
-		log("rule-not-understood", "rules", version, "of", len(notes), "mistake", note.String())
-	}
+	adopted := r.board.SetRules(version, set, row.Value, at)
+	tellRules(r.log, version, set, adopted, fromStore, cost, r.clock.Now().Sub(at))
 }
 
 // readTargets brings the registry up to date.
