--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -76,6 +76,8 @@
 	// failedAt is when a call to the store failed last.
 	failedAt clock.Instant
 	lastSync clock.Instant
+	// rulesRefused says that rules which another instance told could not be taken over.
+	rulesRefused bool
 	// lost is the holder that was found not to lead any more.
 	lost string
 	// leaderKnown is closed when the next leader is found.
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -77,6 +77,7 @@
 func (c *Coordinator) question() *peerapi.SyncArgs {
 	snapshot := c.board.Load()
 	c.mu.Lock()
+	refused := c.rulesRefused
 	answers := c.answeredAt != clock.Never && c.clock.Now().Sub(c.answeredAt) < suspectAfter
 	c.mu.Unlock()
 	args := &peerapi.SyncArgs{
@@ -84,6 +85,9 @@
 		Self:         c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
 		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
 	}
+	if refused {
+		args.RulesVersion = 0
+	}
 	for service, m := range snapshot.Maps {
 		args.MapVersions[service] = m.Version
 	}
@@ -138,8 +142,11 @@
 	// taken all of the time that was not spent waiting.
 	travel := max(0, now.Sub(begun)-reply.Held)
 	at := now.Add(-reply.Age - travel)
-	c.adoptRules(reply, at)
-	taken := c.adoptTargets(reply, at)
+	err := c.adoptRules(reply, at)
+	if err != nil {
+		c.log("rules-refused", "error", err.Error(), "from", fromLeader)
+	}
+	taken := c.adoptTargets(reply, at) && err == nil
 	for service, news := range reply.Maps {
 		c.adoptMap(service, news)
 	}
@@ -148,20 +155,6 @@
 	return taken
 }
 
-func (c *Coordinator) adoptRules(reply *peerapi.SyncReply, at clock.Instant) {
-	if reply.RulesText == nil {
-		c.board.ConfirmRules(at)
-		return
-	}
-	version, set, cost, err := decodeRules(c.config.Source, reply.RulesText)
-	if err != nil {
-		c.log("rules-refused", "error", err.Error(), "from", fromLeader)
-		return
-	}
-	adopted := c.board.SetRules(version, set, reply.RulesText, at)
-	tellRules(c.log, version, set, adopted, fromLeader, cost, c.clock.Now().Sub(at))
-}
-
 // adoptTargets takes over the targets that another instance believes. It reports whether they
 // were taken: not from one that has read less than this instance.
 func (c *Coordinator) adoptTargets(reply *peerapi.SyncReply, at clock.Instant) bool {
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -38,8 +38,7 @@
 	rulesNext   uint64
 	targetsNext uint64
 	// targets are the entries of the registry that name a target, by their keys.
-	targets  map[string]view.Target
-	badRules uint64
+	targets map[string]view.Target
 	// older are the entries that tell of an earlier life of a target than targets do.
 	older map[string]olderEntry
 	// refused are the keys of entries that name no target, as far as they have been told.
@@ -83,21 +82,20 @@
 			r.adoptRules(row, begun)
 		}
 	}
-	r.board.ConfirmRules(begun)
+	r.board.ConfirmRules(next, begun)
 	return nil
 }
 
 func (r *reader) adoptRules(row store.Row, at clock.Instant) {
-	version, set, cost, err := decodeRules(r.source, row.Value)
+	begun := time.Now()
+	version, set, err := r.source.DecodeRules(row.Value)
 	if err != nil {
-		if r.badRules != row.Version {
-			r.badRules = row.Version
-			r.log("rules-refused", "error", err.Error(), "row", row.Version)
-		}
+		r.log("rules-refused", "error", err.Error(), "row", row.Version)
 		return
 	}
-	adopted := r.board.SetRules(version, set, row.Value, at)
-	tellRules(r.log, version, set, adopted, fromStore, cost, r.clock.Now().Sub(at))
+	set = set.Sharing(r.board.Load().Rules)
+	adopted := r.board.SetRules(version, set, at)
+	tellRules(r.log, rulesNews{version, set, fromStore, len(row.Value), time.Since(begun)}, adopted, r.clock.Now().Sub(at))
 }
 
 // readTargets brings the registry up to date.
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -158,7 +158,7 @@
 			c.noteSilent(address, err)
 			continue
 		}
-		if reply.TargetsRead == 0 || reply.RulesText == nil {
+		if reply.TargetsRead == 0 || reply.RulesChanges == nil {
 			continue
 		}
 		c.adopt(begun, args, reply)
@@ -189,10 +189,8 @@
 	if !c.current(args) {
 		return &peerapi.SyncReply{}
 	}
-	reply := c.news(args, c.board.Load())
-	now := c.clock.Now()
-	reply.Held = now.Sub(begun)
-	reply.Age = now.Sub(c.board.KnownAt())
+	reply := c.news(args)
+	reply.Held = c.clock.Now().Sub(begun)
 	reply.Current = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -203,13 +201,10 @@
 
 // whatIsKnown tells what this instance knows, with its age.
 func (c *Coordinator) whatIsKnown(args *peerapi.SyncArgs) *peerapi.SyncReply {
-	knownAt := c.board.KnownAt()
-	if knownAt == clock.Never {
+	if c.board.KnownAt() == clock.Never {
 		return &peerapi.SyncReply{}
 	}
-	reply := c.news(args, c.board.Load())
-	reply.Age = c.clock.Now().Sub(knownAt)
-	return reply
+	return c.news(args)
 }
 
 // current reports whether this instance may speak as a relay to the sender of a question.
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -31,10 +31,9 @@
 	begun := c.clock.Now()
 	c.awaitNews(ctx, t, args)
 	t.heard(args.Self, args.Leaving)
-	reply := c.news(args, c.board.Load())
+	reply := c.news(args)
 	now := c.clock.Now()
 	reply.Held = now.Sub(begun)
-	reply.Age = now.Sub(c.board.KnownAt())
 	c.mu.Lock()
 	reply.Lease = c.observer.Version()
 	reply.Leading = c.term == t
@@ -80,13 +79,22 @@
 	return false
 }
 
-// news returns what the snapshot has that the sender of a report lacks.
-func (c *Coordinator) news(args *peerapi.SyncArgs, s *view.Snapshot) *peerapi.SyncReply {
-	reply := &peerapi.SyncReply{RulesVersion: s.RulesVersion, TargetsDigest: s.TargetsDigest, TargetsRead: c.board.TargetsRead()}
-	if s.Rules != nil && s.RulesVersion > args.RulesVersion {
-		reply.RulesText = s.RulesText
+// news returns what is known here that the sender of a report lacks.
+//
+// How new that is is noted before the snapshot is taken: a reading that comes in between would
+// be told as done to one that does not get what it found, and who would not look for it.
+func (c *Coordinator) news(args *peerapi.SyncArgs) *peerapi.SyncReply {
+	reply := &peerapi.SyncReply{
+		RulesRead: c.board.RulesRead(), TargetsRead: c.board.TargetsRead(), Age: c.clock.Now().Sub(c.board.KnownAt()),
 	}
+	s := c.board.Load()
+	reply.RulesVersion, reply.TargetsDigest = s.RulesVersion, s.TargetsDigest
 	c.told.remember(s)
+	if s.Rules != nil && s.RulesVersion > args.RulesVersion {
+		if err := c.told.rulesSince(reply, args.RulesVersion); err != nil {
+			c.log("rules-not-told", "error", err.Error(), "rules", s.RulesVersion)
+		}
+	}
 	if s.TargetsDigest != args.TargetsDigest {
 		c.told.targets(reply, args.TargetsDigest, s)
 	}
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -23,6 +23,7 @@
 	instances []toldInstances
 	maps      map[string][]*keyrange.Map
 	differ    map[diffKey][]keyrange.Range
+	rules     rulesTold
 }
 
 type toldTargets struct {
@@ -52,6 +53,7 @@
 		t.instances = append(t.instances, toldInstances{s.InstancesVersion, s.Instances})
 		t.instances = t.instances[max(0, len(t.instances)-toldVersions):]
 	}
+	t.rules.remember(s)
 	if t.maps == nil {
 		t.maps = map[string][]*keyrange.Map{}
 	}
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -21,8 +21,6 @@
 	// Rules are nil until the first configuration is known.
 	Rules        *rules.Set
 	RulesVersion uint64
-	// RulesText is the configuration as the store holds it, to be passed on.
-	RulesText []byte
 
 	Targets map[string]Target
 	// ByService lists the targets of each service, sorted by id.
@@ -69,8 +67,10 @@
 	current atomic.Pointer[Snapshot]
 
 	mu sync.Mutex
-	// targetsRead is the version of the store as of which the registry was last read.
+	// targetsRead and rulesRead are the versions of the store as of which the registry and the
+	// configuration were last read.
 	targetsRead uint64
+	rulesRead   uint64
 	// targetsAt and rulesAt are when the registry and the configuration were current.
 	targetsAt clock.Instant
 	rulesAt   clock.Instant
@@ -107,7 +107,7 @@
 
 // SetRules adopts a configuration that was current at the given time, unless it is older
 // than the one in force. It reports whether it is new.
-func (b *Board) SetRules(version uint64, set *rules.Set, text []byte, at clock.Instant) bool {
+func (b *Board) SetRules(version uint64, set *rules.Set, at clock.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.rulesAt = b.rulesAt.Later(at)
@@ -118,18 +118,27 @@
 	b.replace(func(s *Snapshot) {
 		s.Rules = set
 		s.RulesVersion = version
-		s.RulesText = text
 	})
 	return true
 }
 
-// ConfirmRules notes that the configuration in force was current at the given time.
-func (b *Board) ConfirmRules(at clock.Instant) {
+// ConfirmRules notes that the configuration in force was current at the given time and as of a
+// version of the store.
+func (b *Board) ConfirmRules(read uint64, at clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.rulesRead = max(b.rulesRead, read)
 	b.rulesAt = b.rulesAt.Later(at)
 }
 
+// RulesRead returns the version of the store as of which the configuration was last read, here
+// or by the instance that told it; 0: it is not known.
+func (b *Board) RulesRead() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rulesRead
+}
+
 // SetTargets adopts a reading of the registry as of a version of the store, current at the
 // given time. It returns the ids that are no longer believed, and those that are new.
 func (b *Board) SetTargets(version uint64, list map[string]Target, at clock.Instant) (gone, added []string) {
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -75,8 +75,14 @@
 	// Age is how long ago what the answer confirms was read from the store.
 	Age time.Duration
 
+	// RulesVersion is the version in force; RulesRead is the version of the store as of which
+	// that was read.
 	RulesVersion uint64
-	RulesText    []byte
+	RulesRead    uint64
+	// RulesChanges turn the rules of version RulesFrom into those of RulesVersion, encoded as
+	// rules.Changes; nil: the report had that version. RulesFrom is 0 for changes from nothing.
+	RulesFrom    uint64
+	RulesChanges []byte
 	// TargetsDigest identifies the targets, TargetsRead is the version of the store as of
 	// which they were read.
 	TargetsDigest uint64
--- /dev/null
+++ b/protocol/rules/changes_test.go
@@ -0,0 +1,89 @@
+package rules_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lycheehall.example/lycheehall/examples"
+	"lycheehall.example/lycheehall/protocol/rules"
+)
+
+// passOn encodes the changes from one set to another, and applies them as another instance does.
+func passOn(from, to *rules.Set) (*rules.Set, int) {
+	GinkgoHelper()
+	text, err := to.Changes(from).Encode()
+	Expect(err).NotTo(HaveOccurred())
+	changes, err := rules.DecodeChanges(text)
+	Expect(err).NotTo(HaveOccurred())
+	got, err := changes.Apply(from)
+	Expect(err).NotTo(HaveOccurred())
+	return got, len(text)
+}
+
+// manyRules builds a set of rules that send to one service, but for the last one.
+func manyRules(count int, last string) *rules.Set {
+	GinkgoHelper()
+	var list []rules.Rule
+	for i := range count {
+		list = append(list, rules.Rule{Name: fmt.Sprint("r", i), When: rules.When{Host: []string{"a"}, Prefix: fmt.Sprintf("/p%d/", i)}, Then: rules.Then{Route: "s"}})
+	}
+	list[count-1].Then.Route = last
+	set, err := rules.Build("f", []rules.Service{{Name: "s"}, {Name: "t"}}, list)
+	Expect(err).NotTo(HaveOccurred())
+	return set
+}
+
+var _ = Describe("changes of a set", func() {
+	It("make the set that they were taken from, with all its fields", func() {
+		set, err := rules.Parse("example", examples.Rules)
+		Expect(err).NotTo(HaveOccurred())
+		set.Note(rules.Mistake{File: "f", Where: "rule 3", Message: "m"})
+		got, _ := passOn(nil, set)
+		Expect(got.Rules()).To(Equal(set.Rules()))
+		Expect(got.Services()).To(Equal(set.Services()))
+		Expect(got.Notes()).To(Equal(set.Notes()))
+		Expect(got.Decide(request("GET", "/plumbers/h-1")).Key).To(Equal("h-1"))
+	})
+
+	It("are as small as what has changed", func() {
+		got, size := passOn(manyRules(2000, "s"), manyRules(2000, "t"))
+		Expect(size).To(BeNumerically("<", 2<<10))
+		Expect(got.Decide(request("GET", "/p1999/x")).Rule).To(BeNil(), "another host")
+		Expect(got.Rules()[1999].Then.Route).To(Equal("t"))
+	})
+
+	It("keep the order whatever is added, removed, changed or moved", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			draw := func(label string) *rules.Set {
+				var list []rules.Rule
+				for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}), 0, 6, rapid.ID).Draw(t, label) {
+					list = append(list, rules.Rule{Name: name, When: rules.When{Prefix: rapid.SampledFrom([]string{"/", "/x/"}).Draw(t, "prefix")}, Then: rules.Then{Route: "s"}})
+				}
+				set, err := rules.Build("f", []rules.Service{{Name: "s"}}, list)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return set
+			}
+			from, to := draw("from"), draw("to")
+			got, _ := passOn(from, to)
+			Expect(got.Rules()).To(Equal(to.Rules()))
+			Expect(got.Decide(request("GET", "/x/1")).Index).To(Equal(to.Decide(request("GET", "/x/1")).Index))
+		})
+	})
+
+	It("are refused by a set that they were not made for, or when they are cut short", func() {
+		changes := manyRules(20, "t").Changes(manyRules(20, "s"))
+		_, err := changes.Apply(manyRules(3, "s"))
+		Expect(err).To(HaveOccurred())
+		_, err = changes.Apply(nil)
+		Expect(err).To(HaveOccurred())
+		text, err := changes.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = rules.DecodeChanges(text[:len(text)/2])
+		Expect(err).To(HaveOccurred())
+	})
+})
