Read the configuration again at once after a change

Cause: what a feed brings counts as known since the feed began, up to 0.6 s before, and the next feed waits 0.6 s for the next change. Together that is nearly the 1.2 s from which on followers take their leading instance for cut off and read the store, so that each change of the configuration made some of them read and decode it again.

The reading after a change does not wait. Ruled out: counting what a feed brings as known since it was answered, since when the store made the answer is not known; a longer bound for followers, which is what they have to notice a leading instance that is cut off.

--- a/coordination/lead/poll.go
+++ b/coordination/lead/poll.go
@@ -28,8 +28,10 @@
 // readRules keeps the configuration current while that is this instance's business.
 func (c *Coordinator) readRules(ctx context.Context) {
 	pause := newBackoff()
-	// wait is how long a reading may wait for a change: not at all for the first one, which is to
-	// tell soon that there is none.
+	// wait is how long a reading may wait for a change. The first one and one after a change do
+	// not wait, so that they tell soon that there is none: when a change ended a feed is not
+	// known, and what it brought counts as known since that began. With the next feed's wait
+	// knowledge was 1.2 s old, from which on all followers read the store themselves.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if !c.reads() {
@@ -37,10 +39,10 @@
 			sleep(ctx, pollEvery/4)
 			continue
 		}
-		err := c.reader.readRules(ctx, wait)
+		changed, err := c.reader.readRules(ctx, wait)
 		c.noteStore(ctx, err)
 		wait = rulesWait
-		if err != nil {
+		if err != nil || changed {
 			wait = 0
 		}
 		sleep(ctx, pause.after(err, 0))
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -63,17 +63,18 @@
 	return &reader{clock: c, store: s, source: source, board: board, log: log, targets: map[string]view.Target{}, older: map[string]olderEntry{}, refused: map[string]bool{}}
 }
 
-// readRules brings the configuration up to date, and waits for a change for at most wait.
+// readRules brings the configuration up to date, and waits for a change for at most wait. It
+// reports whether there was one.
 //
 // It goes on from what the instance knows, whoever read that. An instance that began with the
 // whole table read and decoded what it had been told a moment ago: with 61 instances each change
 // of a large configuration was read 60 times, by the slowest when they had no time for it.
-func (r *reader) readRules(ctx context.Context, wait time.Duration) error {
+func (r *reader) readRules(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	begun := r.clock.Now()
 	after := r.board.RulesRead()
 	rows, next, whole, err := r.read(ctx, r.source.RulesTable, after, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if !whole && len(rows) == 0 && r.clock.Now().Sub(begun) >= wait {
 		// The store answered that there is no change after it had waited that long.
@@ -85,7 +86,7 @@
 		}
 	}
 	r.board.ConfirmRules(next, begun)
-	return nil
+	return len(rows) > 0, nil
 }
 
 func (r *reader) adoptRules(row store.Row, at clock.Instant) {
--- a/coordination/lead/rules_test.go
+++ b/coordination/lead/rules_test.go
@@ -6,6 +6,8 @@
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -93,7 +95,8 @@
 
 	read := func(c *Coordinator) {
 		GinkgoHelper()
-		Expect(c.reader.readRules(context.Background(), 0)).To(Succeed())
+		_, err := c.reader.readRules(context.Background(), 0)
+		Expect(err).NotTo(HaveOccurred())
 	}
 
 	weight := func(c *Coordinator) int {
@@ -136,3 +139,60 @@
 		Expect(follower.board.Load().RulesVersion).To(Equal(uint64(1)))
 	})
 })
+
+// waitingStore answers a feed when there is a change, or its time to wait is over.
+type waitingStore struct {
+	mu sync.Mutex
+	rulesStore
+}
+
+func (s *waitingStore) Scan(ctx context.Context, table, part string) ([]store.Row, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rulesStore.Scan(ctx, table, part)
+}
+
+func (s *waitingStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]store.Row, uint64, error) {
+	for end := time.Now().Add(wait); ; sleep(ctx, 5*time.Millisecond) {
+		s.mu.Lock()
+		rows, next, err := s.rulesStore.Feed(ctx, table, after, wait)
+		s.mu.Unlock()
+		if len(rows) > 0 || err != nil || ctx.Err() != nil || time.Now().After(end) {
+			return rows, next, err
+		}
+	}
+}
+
+var _ = Describe("an instance that reads the configuration for others", func() {
+	// Symptom: some followers read the store whenever the configuration changes, and decode what
+	// they are told a moment later. Sequence: a change ends a feed that has waited for half a
+	// second; what was read counts as known since the feed began, and the next feed waits for
+	// 0.6 s. Cause: together that is nearly the 1.2 s from which on a follower reads itself.
+	It("knows it as of a moment ago, also after a change", func() {
+		s := &waitingStore{rulesStore: *newRulesStore()}
+		s.write(1, 1, 50)
+		c := New(Config{Source: s.source()}, clock.System{}, s, view.NewBoard(clock.System{}), nil, nil, nil, quiet)
+		ctx, cancel := context.WithCancel(context.Background())
+		var reading sync.WaitGroup
+		reading.Go(func() { c.readRules(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			reading.Wait()
+		})
+		age := func() time.Duration {
+			now := c.clock.Now()
+			c.board.ConfirmTargets(now)
+			return now.Sub(c.board.KnownAt())
+		}
+		Eventually(age, "2s", "1ms").Should(BeNumerically("<", time.Second))
+		for change := range 4 {
+			// Late in the wait of a feed.
+			Eventually(age, "2s", "1ms").Should(BeNumerically(">", rulesWait*5/6))
+			s.mu.Lock()
+			s.write(uint64(2+change), 1, 60)
+			s.mu.Unlock()
+			Eventually(func() uint64 { return c.board.Load().RulesVersion }, "2s", "1ms").Should(Equal(uint64(2 + change)))
+			Consistently(age, "1s", "5ms").Should(BeNumerically("<", rulesWait+350*time.Millisecond))
+		}
+	})
+})
