Look rules up by whole prefixes; read patterns once for all pairs

Cause, the same elsewhere: work that grows with all rules where little of it is needed. Limits were taken over from a copy of all rules.

Prefixes of whole parts are looked up for each beginning of the path; patterns are read once. Ruled out: an index by host, since prefixes alone leave lists of one rule for each host.

The property test now draws up to eight parts.

--- a/coordination/view/board_test.go
+++ b/coordination/view/board_test.go
@@ -164,7 +164,7 @@
 
 	It("knows as of when both the rules and the registry were current", func() {
 		read(5*time.Second, "x")
-		b.ConfirmRules(0, clock.Instant(3 * time.Second))
+		b.ConfirmRules(0, clock.Instant(3*time.Second))
 		Expect(b.KnownAt()).To(Equal(clock.Instant(3 * time.Second)))
 	})
 })
--- a/protocol/rules/check.go
+++ b/protocol/rules/check.go
@@ -253,9 +253,10 @@
 
 // reachability reports rules that an earlier rule always decides before them.
 func (c *checker) reachability(f *file) {
+	parsed := parseWhens(f.Rule)
 	for j := range f.Rule {
 		for i := range f.Rule[:j] {
-			if covers(&f.Rule[i].When, &f.Rule[j].When) {
+			if covers(&parsed[i], &parsed[j]) {
 				c.at("rule", j, f.Rule[j].Name)
 				c.add("when", "can never match: rule %d %q above matches all of it; move this rule up", i+1, f.Rule[i].Name)
 				break
--- a/protocol/rules/cover.go
+++ b/protocol/rules/cover.go
@@ -6,9 +6,28 @@
 	"strings"
 )
 
+// parsedWhen is a condition with its pattern; nil: it has none, or one that cannot be read.
+type parsedWhen struct {
+	*When
+	pattern pattern
+}
+
+// parseWhens reads the patterns of all rules once: reading them anew for each pair of 1,000 rules
+// took 0.2 s of a core.
+func parseWhens(list []Rule) []parsedWhen {
+	out := make([]parsedWhen, len(list))
+	for i := range list {
+		out[i].When = &list[i].When
+		if p, err := parsePattern(list[i].When.Path); err == nil {
+			out[i].pattern = p
+		}
+	}
+	return out
+}
+
 // covers reports whether a surely holds whenever b holds. It looks at the plain fields
 // only; where a combines conditions it says no, so it never accuses a rule wrongly.
-func covers(a, b *When) bool {
+func covers(a, b *parsedWhen) bool {
 	if len(a.All) > 0 || len(a.Any) > 0 || a.Not != nil {
 		return false
 	}
@@ -17,7 +36,7 @@
 		coversList(a.Host, b.Host) &&
 		coversList(a.Caller, b.Caller) &&
 		coversList(a.DataCentre, b.DataCentre) &&
-		coversPath(a.Path, b.Path) &&
+		(a.Path == "" || coversPath(a.pattern, b.pattern)) &&
 		strings.HasPrefix(b.Prefix, a.Prefix) &&
 		coversHeader(a.Header, b.Header)
 }
@@ -39,14 +58,7 @@
 	return true
 }
 
-func coversPath(a, b string) bool {
-	if a == "" {
-		return true
-	}
-	p, errA := parsePattern(a)
-	q, errB := parsePattern(b)
-	return errA == nil && errB == nil && p.covers(q)
-}
+func coversPath(a, b pattern) bool { return a != nil && b != nil && a.covers(b) }
 
 func coversHeader(a, b map[string]string) bool {
 	for name, value := range a {
--- a/protocol/rules/index.go
+++ b/protocol/rules/index.go
@@ -4,16 +4,19 @@
 
 // index finds the rules that can match a path without trying them all. It keeps each rule in
 // one list, so that it is made in time linear in the number of rules. A list of all that can
-// match for each first part was made in time that grows with their square: 0.2 s of a core for
-// 4,200 rules.
+// match for each first part of a path was made in time that grows with their square: 0.2 s of a
+// core for 4,200 rules.
 type index struct {
-	// byFirst holds the rules that name the first part of the path, others the rest.
+	// byPrefix holds the rules that ask for whole parts at the beginning of the path.
+	byPrefix map[string][]placed
+	// byFirst holds the rules with a pattern that names the first part of the path, others the
+	// rest.
 	byFirst map[string]*lastIndex
 	others  lastIndex
 }
 
-// lastIndex holds rules by the last part of the path, in the same way. Two levels keep the
-// lists that are tried one by one short, also when many rules share their beginning.
+// lastIndex holds rules by the last part of the path. Two levels keep the lists that are tried
+// one by one short, also when many rules share their beginning.
 type lastIndex struct {
 	byLast map[string][]placed
 	others []placed
@@ -25,14 +28,28 @@
 	place int
 }
 
+// indexedDepth is the number of slashes in a prefix up to which it is looked up as a whole.
+// Operators' prefixes have one or two parts.
+const indexedDepth = 6
+
 func indexOf(list []*compiled) *index {
-	x := &index{byFirst: map[string]*lastIndex{}}
+	x := &index{byPrefix: map[string][]placed{}, byFirst: map[string]*lastIndex{}}
 	for place, r := range list {
-		x.lastIndexFor(r.first()).add(r.last(), placed{r, place})
+		p := placed{r, place}
+		if prefix := r.when.prefix; len(r.when.path) == 0 && lookedUp(prefix) {
+			x.byPrefix[prefix] = append(x.byPrefix[prefix], p)
+			continue
+		}
+		x.lastIndexFor(r.first()).add(r.last(), p)
 	}
 	return x
 }
 
+// lookedUp reports whether a prefix consists of whole parts, and not of too many.
+func lookedUp(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/") && strings.Count(prefix, "/") <= indexedDepth
+}
+
 func (x *index) lastIndexFor(first string) *lastIndex {
 	if first == "" {
 		return &x.others
@@ -56,23 +73,15 @@
 	x.byLast[last] = append(x.byLast[last], r)
 }
 
-// first returns the first part of the rule's path, if it names one.
+// first returns the first part of the rule's path, if its pattern names one.
 func (r *compiled) first() string {
-	if len(r.when.path) == 0 {
-		// Only a part that the prefix ends with a slash is known as a whole.
-		name, _, whole := strings.Cut(strings.TrimPrefix(r.when.prefix, "/"), "/")
-		if !whole || !strings.HasPrefix(r.when.prefix, "/") {
-			return ""
-		}
-		return name
-	}
-	if r.when.path[0].kind != literal {
+	if len(r.when.path) == 0 || r.when.path[0].kind != literal {
 		return ""
 	}
 	return r.when.path[0].text
 }
 
-// last returns the last part of the rule's path, if it names one.
+// last returns the last part of the rule's path, if its pattern names one.
 func (r *compiled) last() string {
 	if len(r.when.path) == 0 || r.when.path[len(r.when.path)-1].kind != literal {
 		return ""
@@ -81,33 +90,51 @@
 }
 
 // candidates are lists of rules, each in order, that are gone through in the order of all.
-type candidates [4][]placed
+type candidates struct {
+	lists [indexedDepth + 4][]placed
+	count int
+}
+
+func (c *candidates) add(list []placed) {
+	if len(list) > 0 {
+		c.lists[c.count] = list
+		c.count++
+	}
+}
 
 // candidates returns the rules that can match a path.
-func (x *index) candidates(path *parts) candidates {
+func (x *index) candidates(path *parts) (c candidates) {
+	c.add(x.others.others)
 	if path.count == 0 {
-		return candidates{x.others.others}
+		return c
+	}
+	for i := range min(path.count, indexedDepth) {
+		c.add(x.byPrefix[path.path[:path.offset[i]]])
 	}
-	first, last := path.text[0], path.text[path.count-1]
-	c := candidates{x.others.others, x.others.byLast[last]}
-	if named := x.byFirst[first]; named != nil {
-		c[2], c[3] = named.others, named.byLast[last]
+	last := path.text[path.count-1]
+	c.add(x.others.byLast[last])
+	if named := x.byFirst[path.text[0]]; named != nil {
+		c.add(named.others)
+		c.add(named.byLast[last])
 	}
 	return c
 }
 
 // next takes the first of the rules that are left; nil: there is none.
 func (c *candidates) next() *placed {
-	var list *[]placed
-	for i := range c {
-		if len(c[i]) > 0 && (list == nil || c[i][0].place < (*list)[0].place) {
-			list = &c[i]
+	if c.count == 0 {
+		return nil
+	}
+	first := 0
+	for i := 1; i < c.count; i++ {
+		if c.lists[i][0].place < c.lists[first][0].place {
+			first = i
 		}
 	}
-	if list == nil {
-		return nil
+	found := &c.lists[first][0]
+	if c.lists[first] = c.lists[first][1:]; len(c.lists[first]) == 0 {
+		c.count--
+		c.lists[first] = c.lists[c.count]
 	}
-	found := &(*list)[0]
-	*list = (*list)[1:]
 	return found
 }
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"iter"
 	"net"
 	"net/http"
 	"net/url"
@@ -271,12 +272,23 @@
 
 // Rules returns the rules in order.
 func (s *Set) Rules() []Rule {
-	out := make([]Rule, len(s.rules))
-	for i, r := range s.rules {
-		out[i] = r.rule
+	out := make([]Rule, 0, len(s.rules))
+	for r := range s.All() {
+		out = append(out, *r)
 	}
 	return out
 }
 
+// All gives the rules in order, which must not be changed.
+func (s *Set) All() iter.Seq[*Rule] {
+	return func(yield func(*Rule) bool) {
+		for _, r := range s.rules {
+			if !yield(&r.rule) {
+				return
+			}
+		}
+	}
+}
+
 // DeadlineOf returns the time that a rule gives to a whole request.
 func (r *Rule) DeadlineOf() time.Duration { return time.Duration(r.Then.Deadline) }
--- a/protocol/rules/rules_test.go
+++ b/protocol/rules/rules_test.go
@@ -185,6 +185,27 @@
 	})
 }
 
+// BenchmarkDecideSameFirst measures a decision among 4,200 rules whose prefixes begin with the same
+// part. Trying them one after the other took 22 us, looking the prefixes of the path up 0.15 us.
+func BenchmarkDecideSameFirst(b *testing.B) {
+	var list []rules.Rule
+	for i := range 4200 {
+		list = append(list, rules.Rule{
+			Name: fmt.Sprint("r-", i), When: rules.When{Host: []string{"a.example"}, Prefix: fmt.Sprintf("/api/added%d/", i)}, Then: rules.Then{Route: "s"},
+		})
+	}
+	set, err := rules.Build("f", []rules.Service{{Name: "s"}}, list)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &rules.Request{Method: "GET", Host: "a.example", URL: &url.URL{Path: "/api/added4100/x"}, Header: http.Header{}, Caller: "c"}
+	for b.Loop() {
+		if set.Decide(r).Rule == nil {
+			b.Fatal("no rule")
+		}
+	}
+}
+
 // BenchmarkDecide measures rule match and key with 100 rules.
 func BenchmarkDecide(b *testing.B) {
 	var text strings.Builder
@@ -215,7 +236,10 @@
 			var list []rules.Rule
 			for i := range rapid.IntRange(1, 12).Draw(t, "rules") {
 				r := rules.Rule{Name: fmt.Sprint("r", i), Then: rules.Then{Route: "s"}}
-				path := "/" + part.Draw(t, "first") + "/" + part.Draw(t, "last")
+				path := "/" + strings.Join(rapid.SliceOfN(part, 1, 8).Draw(t, "parts"), "/")
+				if strings.Count(path, "{x}") > 1 {
+					path = "/a/"
+				}
 				if rapid.Bool().Draw(t, "prefix") {
 					r.When.Prefix = strings.ReplaceAll(path, "{x}", "")
 				} else {
@@ -232,7 +256,7 @@
 			}
 			set := build(list...)
 			literal := rapid.SampledFrom([]string{"", "a", "b", "d"})
-			path := "/" + literal.Draw(t, "path 1") + "/" + literal.Draw(t, "path 2")
+			path := "/" + strings.Join(rapid.SliceOfN(literal, 1, 8).Draw(t, "path"), "/")
 			r := &rules.Request{Method: "GET", URL: &url.URL{Path: path}, Header: http.Header{}}
 			want := slices.IndexFunc(list, func(one rules.Rule) bool { return build(one).Decide(r).Rule != nil })
 			if got := set.Decide(r).Index; got != want {
--- a/transport/front/limits.go
+++ b/transport/front/limits.go
@@ -62,7 +62,7 @@
 	}
 	l.set = set
 	next := map[string]*ruleLimit{}
-	for _, r := range set.Rules() {
+	for r := range set.All() {
 		bound := r.Then.Limit
 		if bound == nil {
 			continue
