--- a/soak/doc.go
+++ b/soak/doc.go
@@ -9,7 +9,9 @@
 // The checks: a request that must not run twice ran at most once; what was refused as not run
 // did not run; a caller got its own answer; for each key the fences of the runs never go back,
 // so that no former owner began work after a later one; everything is served again after the
-// last fault. Planted faults show that each check can fail.
+// last fault. Meanwhile the rules change, by hundreds at a time: no process goes back to an older
+// version, and all follow the newest one after the last fault. Planted faults show that each
+// check of requests can fail, a test that the one of versions can.
 //
 // It ends only processes that it has started, by their ids.
 package soak
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -83,6 +83,16 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// life tells one start of the process from the others.
+func (p *process) life() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // end waits until the process has ended, and kills it when it takes too long.
 func (p *process) end(most time.Duration) {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,11 +70,18 @@
 		s.callers.Finish()
 		return nil, err
 	}
+	changes, err := StartChanges(fleet, o.Seed)
+	if err != nil {
+		s.callers.Finish()
+		return nil, err
+	}
 	s.inject()
 	s.pending.Wait()
-	result := &Result{Faults: s.faults}
-	if err := s.settle("recovery"); err != nil {
-		result.Wrong = append(result.Wrong, err.Error())
+	result := &Result{Faults: s.faults, Wrong: changes.Stop()}
+	for _, err := range []error{s.settle("recovery"), changes.settled()} {
+		if err != nil {
+			result.Wrong = append(result.Wrong, err.Error())
+		}
 	}
 	result.Counts = s.callers.Count()
 	told := s.callers.Finish()
