--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -60,7 +60,7 @@
 		if left <= 0 {
 			return
 		}
-		if err == nil || left < askingPays {
+		if err == nil || left < shortestAsk {
 			sleep(ctx, left)
 			return
 		}
@@ -68,7 +68,7 @@
 		if c.askRelay(ctx, true) {
 			return
 		}
-		if c.clock.Now().Sub(begun) < askingPays {
+		if c.clock.Now().Sub(begun) < shortestAsk {
 			// No relay holds questions: none is known, or none answers.
 			sleep(ctx, min(left, pollEvery))
 		}
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -36,9 +36,9 @@
 	silentFor = 2 * time.Second
 	// relayTries bounds the relays asked in a row before an instance looks for itself.
 	relayTries = 2
-	// askingPays is the time to the next look at the lease below which an instance does not ask
+	// shortestAsk is the time to the next look at the lease below which an instance does not ask
 	// relays any more, and the time in which one that holds questions does not answer.
-	askingPays = 100 * time.Millisecond
+	shortestAsk = 100 * time.Millisecond
 )
 
 // relays returns the addresses of the instances that read for all while nobody leads, this
--- a/coordination/lead/rules.go
+++ b/coordination/lead/rules.go
@@ -12,10 +12,10 @@
 	"lycheehall.example/lycheehall/protocol/rules"
 )
 
-// toldRules is how many versions of the rules are remembered, so that others are told what has
+// rememberedRules is how many versions of the rules are remembered, so that others are told what has
 // changed since the one that they have. Versions share the rules that stay; what each has of its
 // own, its index, takes half a megabyte for 4,200 rules.
-const toldRules = 6
+const rememberedRules = 6
 
 // rulesTold remembers versions of the rules, and what was told of them. The lock of told guards
 // it.
@@ -37,7 +37,7 @@
 		return
 	}
 	t.versions = append(t.versions, rulesVersion{s.RulesVersion, s.Rules})
-	t.versions = t.versions[max(0, len(t.versions)-toldRules):]
+	t.versions = t.versions[max(0, len(t.versions)-rememberedRules):]
 	t.encoded = map[uint64][]byte{}
 }
 
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// rules puts into a reply what has changed among the rules since a version.
+// rulesSince puts into a reply what has changed among the rules since a version.
 func (t *told) rulesSince(reply *peerapi.SyncReply, since uint64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
