Leave the first lease and the first reading to the seeds

Where no instance has ever led, each of them read the lease, the configuration and the registry (720 entries take two calls), bid for the lease, and looked again when the bid was refused: about 1,800 calls of 295 instances before the first caller comes.

Change: at the first look at the lease an instance that finds none ever held asks a seed, which holds the question until it knows something; it bids and reads by itself if no seed has answered 1.2 s after its start.

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -90,6 +90,10 @@
 	// lookedAt is when the lease's row was last read here.
 	lookedAt clock.Instant
 	started  clock.Instant
+	// neverLed says that the last look found that no instance has ever held the lease.
+	neverLed bool
+	// mayRead is closed when this instance may read the store.
+	mayRead chan struct{}
 	// handedOver is when this instance last gave the lease up for a larger one.
 	handedOver clock.Instant
 	// vacated is the newest term that was given up by word.
@@ -110,7 +114,7 @@
 		reader: newReader(c, s, config.Source, board, log),
 		wake:   make(chan struct{}, 1), lastSync: clock.Never, storeOK: true,
 		leaderKnown: make(chan struct{}), heard: make(chan struct{}), lookedAt: clock.Never, answeredAt: clock.Never, started: c.Now(),
-		silent: map[string]clock.Instant{}, outage: newOutage(), handedOver: clock.Never,
+		silent: map[string]clock.Instant{}, outage: newOutage(), handedOver: clock.Never, mayRead: make(chan struct{}),
 	}
 }
 
@@ -132,8 +136,15 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() { c.follow(ctx) })
-	running.Go(func() { c.readRules(ctx) })
-	running.Go(func() { c.readTargets(ctx) })
+	for _, read := range []func(context.Context){c.readRules, c.readTargets} {
+		running.Go(func() {
+			select {
+			case <-c.mayRead:
+				read(ctx)
+			case <-ctx.Done():
+			}
+		})
+	}
 	running.Wait()
 }
 
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -30,10 +30,14 @@
 			continue
 		}
 		t, err := c.lookAtLease(ctx, !leaving && !c.standsBack())
+		c.settleStart(ctx)
 		if t == nil {
 			if err != nil {
 				c.askAnybody(ctx)
 			}
+			if c.follows() {
+				continue
+			}
 			look := c.shared(leaseLookEvery)
 			c.awaitNextLook(ctx, c.spared(pause.after(err, look/2+rand.N(look/2)), err), err)
 			continue
@@ -123,6 +127,13 @@
 	return args
 }
 
+// follows reports whether an instance that leads has just answered this one.
+func (c *Coordinator) follows() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastSync != clock.Never && c.leader.Address != ""
+}
+
 // followed notes that the leading instance answered.
 func (c *Coordinator) followed() {
 	c.mu.Lock()
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -153,21 +154,9 @@
 		if address == c.config.Self.Address || !c.mayAnswer(address) {
 			continue
 		}
-		args := c.question()
-		args.Starting = true
-		begun := c.clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		reply, err := c.peers.Sync(callCtx, address, args)
-		cancel()
-		if err != nil {
+		if err := c.askAll(ctx, address, 0); err != nil && !errors.Is(err, errKnowsNothing) {
 			c.noteSilent(address, err)
-			continue
-		}
-		if reply.TargetsRead == 0 || reply.RulesChanges == nil {
-			continue
 		}
-		c.adopt(begun, args, reply)
-		c.log("told-by-other", "address", address, "age_ms", reply.Age.Milliseconds())
 	}
 }
 
@@ -185,6 +174,7 @@
 func (c *Coordinator) relay(ctx context.Context, args *peerapi.SyncArgs) *peerapi.SyncReply {
 	begun := c.clock.Now()
 	if args.Starting {
+		c.awaitKnown(ctx, args)
 		return c.whatIsKnown(args)
 	}
 	if !c.awaitCurrent(ctx, args) {
@@ -209,7 +199,12 @@
 	if c.board.KnownAt() == clock.Never {
 		return &peerapi.SyncReply{}
 	}
-	return c.news(args)
+	reply := c.news(args)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Leader = c.leader
+	reply.Leading = c.term != nil
+	return reply
 }
 
 // current reports whether this instance may speak as a relay to the sender of a question.
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -52,7 +52,9 @@
 	for {
 		snapshot := c.board.Load()
 		if newer(args, snapshot) {
-			sleep(ctx, gatherEach*time.Duration(len(snapshot.Instances)))
+			if !args.Starting {
+				sleep(ctx, gatherEach*time.Duration(len(snapshot.Instances)))
+			}
 			return
 		}
 		select {
@@ -95,6 +97,10 @@
 			c.log("rules-not-told", "error", err.Error(), "rules", s.RulesVersion)
 		}
 	}
+	if args.Starting {
+		c.tellWhole(reply, s)
+		return reply
+	}
 	if s.TargetsDigest != args.TargetsDigest {
 		c.told.targets(reply, args.TargetsDigest, s)
 	}
@@ -111,3 +117,14 @@
 	}
 	return reply
 }
+
+// tellWhole puts everything that is known of targets, maps and instances into a reply.
+func (c *Coordinator) tellWhole(reply *peerapi.SyncReply, s *view.Snapshot) {
+	text, err := c.told.whole(s)
+	if err != nil {
+		c.log("whole-not-told", "error", err.Error())
+		return
+	}
+	reply.Whole = text
+	reply.InstancesVersion = s.InstancesVersion
+}
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -70,6 +70,7 @@
 	c.observer.Saw(s.leaseVersion, s.lease.Vacant, c.clock.Now())
 	c.looked(begun)
 	free := c.observer.MayTake(begun) || c.succeeds(s.lease) || s.lease.Term != 0 && s.lease.Term == c.vacated.term
+	c.neverLed = s.lease.Term == 0
 	// A write of ours whose answer was lost may have taken effect after all.
 	ours := s.lease.Holder == c.config.Self.ID
 	if !free && !ours {
@@ -78,7 +79,7 @@
 		c.setLeader(lease.Row{})
 	}
 	c.mu.Unlock()
-	if !wanted || !free && !ours {
+	if !wanted || !free && !ours || c.leavesToSeeds() {
 		return nil, nil
 	}
 	return c.bid(ctx, s), nil
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -24,6 +24,8 @@
 	maps      map[string][]*keyrange.Map
 	differ    map[diffKey][]keyrange.Range
 	rules     rulesTold
+	// everything is what instances that knew nothing were last told.
+	everything wholeTold
 }
 
 type toldTargets struct {
--- /dev/null
+++ b/coordination/lead/whole_test.go
@@ -0,0 +1,76 @@
+package lead
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/peerapi"
+)
+
+// knowing returns an instance that knows so many targets, each with a range, and instances.
+func knowing(targetCount, instanceCount int) *Coordinator {
+	c := newCoordinator()
+	list := map[string]view.Target{}
+	e := keyrange.Empty().Edit()
+	for i := range targetCount {
+		id := view.LifeID(fmt.Sprintf("i-%08x", uint32(i)*2654435761), int64(1776885668000+i*37))
+		list[id] = view.Target{ID: id, Born: int64(1776885668000 + i*37), Service: "bookings", Address: fmt.Sprintf("10.%d.64.%d:8524", i%5, i/5), DataCentre: fmt.Sprint("dc", i%5), Slots: 6}
+		from := i * (keyrange.MaxKey + 1) / targetCount
+		to := (i+1)*(keyrange.MaxKey+1)/targetCount - 1
+		e.Move(uint16(from), uint16(to), id, false)
+		e.Finish(uint16(from), uint16(to))
+	}
+	now := clock.System{}.Now()
+	c.board.SetTargets(5, list, now)
+	c.board.SetMap("bookings", e.Map())
+	c.board.ConfirmRules(5, now)
+	var instances []view.Instance
+	for i := range instanceCount {
+		instances = append(instances, view.Instance{ID: fmt.Sprintf("front-%d.%08x", i, uint32(i)*2654435761), Address: fmt.Sprintf("10.%d.0.%d:8146", i%5, i/5), DataCentre: fmt.Sprint("dc", i%5), Weight: 0.16})
+	}
+	c.board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, instances)
+	return c
+}
+
+var _ = Describe("all that an instance which starts is told", func() {
+	// Symptom: the last of 100 instances that start together hears from its seed 5 s after the first.
+	// Sequence: each is told 720 targets, their ranges and 295 instances, 120 KB, over 20 Mbit/s.
+	// Cause: it was encoded for each of them, name by name.
+	It("fits a small link, and is encoded once for all", func() {
+		const (
+			starters = 100
+			// link is what a small instance sends in a second, in bytes.
+			link = 20_000_000 / 8
+		)
+		c := knowing(720, 295)
+		args := &peerapi.SyncArgs{Starting: true}
+		first := c.news(args)
+		Expect(len(first.Whole) * starters).To(BeNumerically("<", 2*link))
+		Expect(testing.AllocsPerRun(10, func() { c.news(args) })).To(BeNumerically("<", 50))
+		Expect(&c.news(args).Whole[0]).To(BeIdenticalTo(&first.Whole[0]))
+	})
+
+	It("is taken over as a whole, and told anew when anything has changed", func() {
+		c, starts := knowing(40, 9), newCoordinator()
+		args := &peerapi.SyncArgs{Starting: true}
+		reply := c.news(args)
+		before := reply.Whole
+		Expect(unpack(reply)).To(Succeed())
+		starts.adopt(starts.clock.Now(), args, reply)
+		Expect(starts.board.Load().TargetsDigest).To(Equal(c.board.Load().TargetsDigest))
+		Expect(starts.board.Load().Instances).To(Equal(c.board.Load().Instances))
+		Expect(starts.board.Load().Maps).To(Equal(c.board.Load().Maps))
+		c.board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, nil)
+		Expect(c.news(args).Whole).NotTo(Equal(before))
+	})
+
+	It("is refused when it cannot be read", func() {
+		Expect(unpack(&peerapi.SyncReply{Whole: []byte("no")})).NotTo(Succeed())
+	})
+})
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -42,8 +42,8 @@
 	Pace []Pace
 	// Lost is the holder of the lease that the sender found not to lead any more.
 	Lost string
-	// Starting says that the sender knows nothing and cannot read the store: whatever is known
-	// is of use to it, however old.
+	// Starting says that the sender knows nothing: whatever is known is of use to it, however old.
+	// It is told targets, maps and instances as a whole.
 	Starting bool
 	// AwaitCurrent says that the store does not answer the sender, who can do nothing but wait: the
 	// answer may be held also until there is something current to be said.
@@ -97,6 +97,9 @@
 	Targets      []view.Target
 	TargetsGone  []string
 	TargetsWhole bool
+	// Whole tells a sender that knows nothing all targets, maps and instances, compressed, in place of
+	// the fields for them.
+	Whole []byte
 	// Maps are the maps that are newer than those in the report.
 	Maps map[string]MapNews
 
