Have the largest instances of each data centre keep the pools of a large fleet

Every instance kept the permits of some targets, so that every one had a connection to and from every other: 588 at 295 instances. Both ends of one took 49 KB of heap and 18 KB of stacks (200 connections over loopback, after some calls), 20 MB an instance, which grows with their number and would not fit a small instance of a fleet ten times as large.

Ruled out: as many keepers as the square root of the instances, which an evenly small fleet of 300 would not bear (17 of them would use a third of their processors); keepers that forward requests, which take the bodies across data centres twice.

Change: with more than 32 instances the largest of each data centre that have a fifth of its processors, three at least, keep the pools. Of 295 with 15 large ones these are the 15; of 295 alike, 60.

--- a/instance/broker.go
+++ b/instance/broker.go
@@ -45,6 +45,9 @@
 	mu        sync.Mutex
 	groupings map[string]*grouping
 	suspects  map[string]clock.Instant
+	// keepers are the instances that keep pools, as of keepersAt.
+	keepers   []view.Instance
+	keepersAt view.InstancesVersion
 	// lent says where each permit came from.
 	lent map[string]lender
 }
@@ -134,7 +137,7 @@
 func (b *broker) keeper(id permit.PoolID, home string) view.Instance {
 	best, bestScore, bestHome := b.self, math.Inf(-1), false
 	duty := id.Service + "/" + id.Target + "/" + id.Group
-	for _, i := range b.board.Load().Instances {
+	for _, i := range b.keeping(b.board.Load()) {
 		atHome := home != "" && i.DataCentre == home
 		if bestHome && !atHome {
 			continue
@@ -148,6 +151,17 @@
 	return best
 }
 
+// keeping returns the instances that keep pools.
+func (b *broker) keeping(s *view.Snapshot) []view.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.keepers == nil || b.keepersAt != s.InstancesVersion {
+		b.keepers = permit.Keepers(s.Instances)
+		b.keepersAt = s.InstancesVersion
+	}
+	return b.keepers
+}
+
 // Acquire gets a permit for a target, or for any target of a service.
 func (b *broker) Acquire(ctx context.Context, ask permit.Ask) (permit.Permit, error) {
 	s := b.board.Load()
