--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -292,14 +292,18 @@
 // record writes the line that tells how the request was decided.
 func (c *call) record(res result) {
 	took := time.Since(c.start)
+	known := c.h.clock.Now().Sub(c.h.board.KnownAt())
 	requestSeconds.Update(took.Seconds())
+	if c.snapshot.Rules != nil {
+		knownSeconds.Update(known.Seconds())
+	}
 	status, reason := res.refusal.status, res.refusal.reason
 	if res.answer != nil {
 		status, reason = res.answer.Status, "answered"
 	}
 	fields := []any{
 		"request", c.id, "status", status, "outcome", reason, "took_ms", took.Milliseconds(), "given_ms", c.given.Milliseconds(),
-		"rules", c.snapshot.RulesVersion, "known_ms", c.h.clock.Now().Sub(c.h.board.KnownAt()).Milliseconds(),
+		"rules", c.snapshot.RulesVersion, "known_ms", known.Milliseconds(),
 	}
 	if c.decision.Rule != nil {
 		fields = append(fields, "rule", c.decision.Rule.Name)
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -89,6 +89,7 @@
 
 var (
 	requestsTotal   = metrics.GetOrCreateCounter("lycheehall_front_requests_total")
+	knownSeconds    = metrics.GetOrCreateHistogram("lycheehall_front_known_seconds")
 	requestSeconds  = metrics.GetOrCreateHistogram("lycheehall_front_request_seconds")
 	permitSeconds   = metrics.GetOrCreateHistogram("lycheehall_permit_wait_seconds")
 	requestsRunning = metrics.GetOrCreateCounter("lycheehall_front_requests_in_flight")
