Find out who has which duty once for each list of instances

Each instance looks 25 times a second whether it is a relay, and ranked all instances for that, 295 hashes and a sort; with large instances first the sort would have hashed in each comparison. News that relays pass on are gathered by the size of the fleet again: with a move every 70 ms 280 followers answered 14 times a second.

Change: the ranking is kept with the version of the list that it was made of.

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -101,6 +101,8 @@
 	vacated vacated
 	// answeredAt is when the store answered a call made for the leading instance.
 	answeredAt clock.Instant
+	// ranked is who had which duty when that was last looked for.
+	ranked duties
 	// silent says when relays last failed to answer.
 	silent map[string]clock.Instant
 	// relaysAnsweredAt is when a relay last answered this instance, whose knowledge had become old.
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -42,17 +42,36 @@
 	shortestAsk = 100 * time.Millisecond
 )
 
+// duties are who has which duty among the instances that are known.
+type duties struct {
+	version view.InstancesVersion
+	lost    string
+	// relays read for all while nobody leads; tree are the relays of this data centre.
+	relays, tree []string
+}
+
+// duties returns who has which duty. They are ranked anew when the list of instances has changed, or a
+// leader was lost: it is asked 25 times a second, and ranking 295 instances takes some 0.1 ms.
+func (c *Coordinator) duties() duties {
+	s := c.board.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ranked.version != s.InstancesVersion || c.ranked.lost != c.lost {
+		c.ranked = duties{
+			version: s.InstancesVersion, lost: c.lost,
+			relays: rankRelays(s.Instances, c.lost), tree: treeRelays(s.Instances, c.config.Self.DataCentre),
+		}
+	}
+	return c.ranked
+}
+
 // relays returns the addresses of the instances that read for all while nobody leads, this
 // one among them if it is one. They are the same for all who know the same instances.
 func (c *Coordinator) relays() []string {
-	list := c.board.Load().Instances
-	if len(list) == 0 {
+	if len(c.board.Load().Instances) == 0 {
 		return c.config.Seeds
 	}
-	c.mu.Lock()
-	lost := c.lost
-	c.mu.Unlock()
-	return rankRelays(list, lost)
+	return c.duties().relays
 }
 
 func rankRelays(list []view.Instance, lost string) []string {
@@ -61,24 +80,31 @@
 }
 
 // rank returns the addresses of the first instances in the ranking for a duty: large ones before those
-// with half of the largest one's part of a core or less, and by rendezvous hash. It reorders the list.
+// with half of the largest one's part of a core or less, and by rendezvous hash.
 func rank(list []view.Instance, duty string, count int) []string {
+	type ranked struct {
+		address string
+		small   int
+		score   float64
+	}
 	largest := 0.0
 	for _, i := range list {
 		largest = max(largest, i.Weight)
 	}
-	small := func(i view.Instance) int {
+	var ranking []ranked
+	for _, i := range list {
+		r := ranked{address: i.Address, score: i.Score(duty)}
 		if largerBy*i.Weight <= largest {
-			return 1
+			r.small = 1
 		}
-		return 0
+		ranking = append(ranking, r)
 	}
-	slices.SortFunc(list, func(a, b view.Instance) int {
-		return cmp.Or(cmp.Compare(small(a), small(b)), cmp.Compare(b.Score(duty), a.Score(duty)))
+	slices.SortFunc(ranking, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.small, b.small), cmp.Compare(b.score, a.score))
 	})
 	var addresses []string
-	for _, i := range list[:min(count, len(list))] {
-		addresses = append(addresses, i.Address)
+	for _, r := range ranking[:min(count, len(ranking))] {
+		addresses = append(addresses, r.address)
 	}
 	return addresses
 }
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -74,8 +74,14 @@
 
 // gather holds news back for a moment, but for an instance that has just started.
 func (c *Coordinator) gather(ctx context.Context, args *peerapi.SyncArgs) {
+	count := int(c.asking.Load())
+	if args.Relayed {
+		// The fleet spends on each answer, whoever gives it: with a move every 70 ms, 280 followers
+		// that are told at once answer 14 times a second.
+		count = len(c.board.Load().Instances)
+	}
 	if !args.Starting {
-		sleep(ctx, gatherEach*time.Duration(c.asking.Load()))
+		sleep(ctx, gatherEach*time.Duration(count))
 	}
 }
 
--- a/coordination/lead/tree.go
+++ b/coordination/lead/tree.go
@@ -59,7 +59,7 @@
 // the leading instance. The relays that read the store while nobody leads report to it directly too:
 // they make calls for it when the store does not answer it.
 func (c *Coordinator) treeRelay() string {
-	relays := treeRelays(c.board.Load().Instances, c.config.Self.DataCentre)
+	relays := c.duties().tree
 	if len(relays) == 0 || slices.Contains(relays, c.config.Self.Address) || c.isRelay() {
 		return ""
 	}
--- a/coordination/lead/tree_test.go
+++ b/coordination/lead/tree_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -345,3 +347,26 @@
 		Expect((dark.calls.Load()-before)/3).To(BeNumerically("<", 30), "calls a second")
 	})
 })
+
+var _ = Describe("who has which duty", func() {
+	// Symptom: an idle instance of 295 uses 1 % of a core. Sequence: 25 times a second it looks whether it
+	// is a relay. Cause: each time all instances were ranked anew.
+	It("is found out once for each list of instances", func() {
+		g := newGrown(300, 5)
+		c := g.all[g.list[299].Address]
+		c.duties()
+		Expect(testing.AllocsPerRun(100, func() {
+			c.isRelay()
+			c.treeRelay()
+		})).To(BeNumerically("<", 5))
+	})
+
+	It("is found out anew when an instance has left", func() {
+		g := newGrown(120, 5)
+		c := g.all[g.list[119].Address]
+		first := c.relays()[0]
+		list := slices.DeleteFunc(slices.Clone(g.list), func(i view.Instance) bool { return i.Address == first })
+		c.board.SetInstances(view.InstancesVersion{Term: 9, Count: 1}, list)
+		Expect(c.relays()).NotTo(ContainElement(first))
+	})
+})
