Tell which request a target had when its process ended

Callers saw one target after the other end under one request, and no line said which: requests were logged without path, caller or body, and a target that ends looked like any broken connection.

Now a connection that ends with a request on it is followed by a second one. If that is refused, the target has ended: a line target-ended gives target, method, path, caller and a fingerprint of what was asked, and a metric counts them. The second connection is kept if it can be made. Ruled out: to wait for the registry, which keeps an entry for three heartbeats.

No decision about requests is changed.

--- /dev/null
+++ b/coordination/quarantine/doc.go
@@ -0,0 +1,3 @@
+// Package quarantine recognises requests that come again, and knows under which of them targets
+// have ended.
+package quarantine
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -92,6 +92,7 @@
 	knownSeconds    = metrics.GetOrCreateHistogram("lycheehall_front_known_seconds")
 	requestSeconds  = metrics.GetOrCreateHistogram("lycheehall_front_request_seconds")
 	permitSeconds   = metrics.GetOrCreateHistogram("lycheehall_permit_wait_seconds")
+	targetsEnded    = metrics.GetOrCreateCounter("lycheehall_front_targets_ended_total")
 	requestsRunning = metrics.GetOrCreateCounter("lycheehall_front_requests_in_flight")
 )
 
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/upstream"
@@ -30,6 +31,9 @@
 	took := time.Since(begun)
 	c.targets = append(c.targets, t.ID)
 	c.lastErr = err
+	if errors.Is(err, upstream.ErrEnded) {
+		c.ended(t, took)
+	}
 	c.h.permits.Release(c.report(p, outcomeOf(ctx, answer, err), took))
 	if err == nil && answer.Status < http.StatusInternalServerError {
 		c.h.collector.Answered(t.ID, c.decision.Rule.Name, took, len(answer.Body))
@@ -37,6 +41,14 @@
 	return c.judge(ctx, wait, answer, err)
 }
 
+// ended tells that a target has ended while it had the request.
+func (c *call) ended(t view.Target, took time.Duration) {
+	targetsEnded.Inc()
+	c.h.log("target-ended", "request", c.id, "target", t.ID, "service", c.service.Name, "rule", c.decision.Rule.Name,
+		"took_ms", took.Milliseconds(), "fingerprint", quarantine.FingerprintOf(c.r, c.body).String(),
+		"method", c.r.Method, "uri", c.r.RequestURI, "caller", quarantine.CallerOf(c.r), "body_bytes", len(c.body))
+}
+
 func (c *call) report(p permit.Permit, res permit.Result, took time.Duration) permit.Report {
 	return permit.Report{ID: p.ID, Target: p.Target, Rule: c.decision.Rule.Name, Result: res, Took: took}
 }
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,9 @@
 	ErrNotRun = errors.New("upstream: not run")
 	// ErrBroken says that the request may have run and that there is no whole answer.
 	ErrBroken = errors.New("upstream: broken off")
+	// ErrEnded comes with ErrBroken where the target's process has ended meanwhile: its address
+	// refuses connections.
+	ErrEnded = errors.New("upstream: the target has ended")
 )
 
 // NotRunError is a target's word that it did not run a request.
@@ -105,6 +109,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if x.cut && ctx.Err() == nil && c.pool.refuses(ctx, t) {
+			err = fmt.Errorf("%w: %w", ErrEnded, err)
+		}
 		return nil, err
 	}
 	if !x.clean {
@@ -124,7 +131,9 @@
 	// clean says that the connection can carry another request.
 	clean     bool
 	keepAlive string
-	written   chan error
+	// cut says that the connection ended after the request was sent on it, before its answer.
+	cut     bool
+	written chan error
 }
 
 func (x *exchange) run(ctx context.Context) (*Answer, error) {
@@ -136,27 +145,34 @@
 		if sent == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, x.broken(err)
 	}
 	resp, err := x.head(req)
 	if err != nil {
 		if x.conn.reused && ctx.Err() == nil {
 			x.client.pool.met(x.target.ID)
 		}
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, x.broken(err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errors.New("the answer is too large")
-	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, x.broken(err)
+	}
+	if len(body) > maxAnswer {
+		return nil, fmt.Errorf("%w: the answer is too large", ErrBroken)
 	}
 	x.judgeConnection(resp)
 	return x.judge(resp, body)
 }
 
+// broken says that there is no whole answer, and notes whether that is since the connection ended.
+func (x *exchange) broken(err error) error {
+	var failed *net.OpError
+	x.cut = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed)
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
 // encode returns the request as it goes over the wire.
 func (x *exchange) encode(ctx context.Context) (*http.Request, []byte) {
 	r := x.request
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,9 @@
 	// milliseconds away. Its queue of new connections may be full; the next try then comes
 	// a second later, which is too late for most requests.
 	dialTimeout = 350 * time.Millisecond
+	// refusedWithin bounds the connection that shows whether a target has ended. Who waits for it is
+	// a caller whose request broke off, and whom a repeat may still serve.
+	refusedWithin = 100 * time.Millisecond
 	// settleTime is how long a new connection is watched before a request is sent on it, beside
 	// the time that its making took. A target that has as many connections as it accepts, or
 	// whose queue is long, accepts one more and resets it at once. A request that was written
@@ -130,6 +134,21 @@
 	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleFor: idleDefault}, nil
 }
 
+// refuses reports whether nobody listens at a target's address any more. A connection that can be
+// made is kept for the next request.
+//
+// A connection that breaks with a request on it may have been reset on the way, or by a target that
+// is full. Only a target that has ended refuses the next one as well.
+func (p *Pool) refuses(ctx context.Context, t Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusedWithin)
+	defer cancel()
+	conn, err := p.dial(ctx, t.ID, t.Address, t.Connections)
+	if err == nil {
+		p.keep(t.ID, conn, "")
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // settled watches a new connection for a while, and closes it if it does not stay open and
 // silent.
 func settled(conn net.Conn, wait time.Duration) error {
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -32,6 +32,7 @@
 // target runs a script behind a socket.
 type target struct {
 	Target
+	listener    net.Listener
 	connections atomic.Int64
 	requests    atomic.Int64
 }
@@ -40,8 +41,9 @@
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	t := &target{Target: Target{ID: "t1@5", Name: "t1", Address: l.Addr().String()}}
+	// A script may have closed it already.
+	DeferCleanup(func() { _ = l.Close() })
+	t := &target{Target: Target{ID: "t1@5", Name: "t1", Address: l.Addr().String()}, listener: l}
 	go func() {
 		for {
 			conn, err := l.Accept()
