--- a/instance/process_test.go
+++ b/instance/process_test.go
@@ -53,7 +53,12 @@
 	case "platform":
 		childPlatform()
 	case "target":
-		childTarget(args[0], args[1])
+		childTarget(standin.NewTarget(args[0], "bookings", true), args[1])
+	case "fragile target":
+		target := standin.NewTarget(args[0], "dispatch", false)
+		target.CrashOn = crashPath
+		target.Crash = func() { os.Exit(crashCode) }
+		childTarget(target, args[1])
 	case "instance":
 		childInstance(args[0], args[1])
 	}
@@ -77,9 +82,8 @@
 	panic(http.Serve(l, standin.NewRegistry(store, platform.TargetTable, lapse).Handler()))
 }
 
-func childTarget(id, platformAddress string) {
+func childTarget(target *standin.Target, platformAddress string) {
 	l := listen()
-	target := standin.NewTarget(id, "bookings", true)
 	target.Slots = 50
 	target.Work = 2 * time.Millisecond
 	go func() { panic(target.Serve(l)) }()
@@ -89,7 +93,7 @@
 	}
 	fmt.Println(l.Addr())
 	for {
-		resp, err := http.Post("http://"+platformAddress+standin.RegisterPath+id, "application/json", bytes.NewReader(text))
+		resp, err := http.Post("http://"+platformAddress+standin.RegisterPath+target.ID, "application/json", bytes.NewReader(text))
 		if err == nil {
 			resp.Body.Close()
 		}
@@ -122,11 +126,16 @@
 	admin   string
 }
 
-func startChild(role string, args ...string) *child {
-	GinkgoHelper()
+func childCommand(role string, args ...string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0], args...)
 	cmd.Env = append(os.Environ(), childVariable+"="+role)
 	cmd.Stderr = GinkgoWriter
+	return cmd
+}
+
+func startChild(role string, args ...string) *child {
+	GinkgoHelper()
+	cmd := childCommand(role, args...)
 	out, err := cmd.StdoutPipe()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(cmd.Start()).To(Succeed())
