Keep requests under which targets have ended from all targets

Callers saw targets end one after the other, with the requests that ran beside: a request that crashes whatever runs it came again and again, through any instance, and reached a target each time.

Cause: each arrival was judged by itself. What became of a try was told to the keeper of the target's slots as a fault of the target, and to nobody as one of the request. Its class is knowledge that is needed at all instances and stays at the one that has it.

Now each end of a target is noted under the method, path, query, body and caller of what it ran. Instances report it to the leading one along with what they report anyhow, which tells all; after two targets without an answer in between the request is refused as not run before each try, by whichever way it came to that: first, repeat, after a wait for a slot or for a key. What is refused is kept in the row beside the lease and outlives all instances. Two targets for two callers count as well, since the address of a caller may change.

Ruled out: to block after three (one more target, no gain), to count broken connections (targets that are full reset theirs), to leave the host in (callers that address instances one by one name each; the process test found that).

--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -44,6 +44,7 @@
 		return
 	}
 	t.committing = true
+	quarantined := t.quarantineRow(&txn)
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		version, err := t.c.store.Commit(callCtx, txn)
@@ -55,13 +56,33 @@
 		}
 		t.c.noteStore(ctx, err)
 		select {
-		case t.done <- func() { t.committed(now, proposed, version, err, again) }:
+		case t.done <- func() {
+			if err == nil && quarantined != nil {
+				t.c.quarantine.Stored(quarantined)
+			}
+			t.committed(now, proposed, version, err, again)
+		}:
 		case <-t.stop:
 		case <-ctx.Done():
 		}
 	}()
 }
 
+// quarantineRow adds the requests that are quarantined to a change, if the store does not have them yet,
+// and returns what it adds. All instances may be lost at once: the next ones would learn of a request
+// that crashes targets only by the targets that it crashes then.
+func (t *term) quarantineRow(txn *store.Txn) []byte {
+	text, err := t.c.quarantine.ToStore()
+	if err != nil {
+		t.c.log("quarantine-not-written", "error", err.Error())
+		return nil
+	}
+	if text != nil {
+		txn.Writes = append(txn.Writes, store.Write{ID: store.ID{Table: table, Part: part, Key: quarantineKey}, Value: text})
+	}
+	return text
+}
+
 func (t *term) txn(proposed map[string]*keyrange.Map, row lease.Row) (store.Txn, error) {
 	id := store.ID{Table: table, Part: part, Key: leaseKey}
 	text, err := row.Encode()
--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -11,6 +11,7 @@
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 	"lycheehall.example/lycheehall/state/store"
@@ -40,6 +41,9 @@
 	// HoldMax is the longest hold of a grant that targets accept.
 	HoldMax time.Duration
 	Policy  keyrange.Policy
+	// Quarantine is what this instance knows of requests under which targets have ended; nil: nothing
+	// that others of its process have to do with.
+	Quarantine *quarantine.Registry
 }
 
 // Rows of ours in the store. The lease and the maps share a part, so that each change of a
@@ -48,7 +52,9 @@
 	table    = "lycheehall"
 	part     = "coordination"
 	leaseKey = "lease"
-	mapKey   = "map/"
+	// quarantineKey is the row of the requests that are to reach no target.
+	quarantineKey = "quarantine"
+	mapKey        = "map/"
 )
 
 // Coordinator is one instance's part in acting together.
@@ -63,6 +69,8 @@
 	total     *demand.Total
 	log       Log
 	reader    *reader
+	// quarantine is told and collected along with the reports.
+	quarantine *quarantine.Registry
 
 	wake chan struct{}
 
@@ -122,11 +130,14 @@
 
 // New returns a coordinator. Nothing happens before Run.
 func New(config Config, c clock.Clock, s store.Store, board *view.Board, peers Peers, orders Orders, collector *demand.Collector, log Log) *Coordinator {
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.NewRegistry(time.Now)
+	}
 	return &Coordinator{
 		config: config, clock: c, store: s, board: board, peers: peers, orders: orders,
 		collector: collector, total: demand.NewTotal(), log: log,
-		reader: newReader(c, s, config.Source, board, log),
-		wake:   make(chan struct{}, 1), lastSync: clock.Never, storeOK: true,
+		reader: newReader(c, s, config.Source, board, log), quarantine: config.Quarantine,
+		wake: make(chan struct{}, 1), lastSync: clock.Never, storeOK: true,
 		leaderKnown: make(chan struct{}), heard: make(chan struct{}), lookedAt: clock.Never, answeredAt: clock.Never, started: c.Now(),
 		silent: map[string]clock.Instant{}, below: map[string]*downstream{}, leaderAnsweredAt: clock.Never, relaysAnsweredAt: clock.Never, refreshAt: clock.Never, outage: newOutage(), handedOver: clock.Never, mayRead: make(chan struct{}),
 	}
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -136,6 +136,7 @@
 		StoreAnswers: answers,
 		Self:         c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
 		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
+		Quarantine: c.quarantine.Unreported(), QuarantineVersion: c.quarantine.Version(),
 	}
 	if refused {
 		args.RulesVersion = 0
@@ -211,6 +212,8 @@
 		c.adoptMap(service, news)
 	}
 	c.adoptInstances(args, reply)
+	c.quarantine.Reported(args.Quarantine)
+	c.quarantine.Adopt(reply.Quarantine, reply.QuarantineVersion)
 	c.told.remember(c.board.Load(), c.versionsKept())
 	return taken
 }
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -15,6 +15,7 @@
 
 // Sync answers a report of another instance, as soon as there is something new for it.
 func (c *Coordinator) Sync(ctx context.Context, args *peerapi.SyncArgs) *peerapi.SyncReply {
+	c.quarantine.Merge(args.Quarantine)
 	c.mu.Lock()
 	t := c.term
 	c.mu.Unlock()
@@ -106,6 +107,7 @@
 	reply := &peerapi.SyncReply{
 		RulesRead: c.board.RulesRead(), TargetsRead: c.board.TargetsRead(), Age: c.clock.Now().Sub(c.board.KnownAt()),
 	}
+	reply.Quarantine, reply.QuarantineVersion = c.quarantine.News(args.QuarantineVersion)
 	s := c.board.Load()
 	reply.RulesVersion, reply.TargetsDigest = s.RulesVersion, s.TargetsDigest
 	c.told.remember(s, toldVersions)
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -17,6 +17,8 @@
 	leaseVersion uint64
 	maps         map[string]*keyrange.Map
 	mapVersions  map[string]uint64
+	// quarantine is the content of the row of requests that are quarantined; nil: there is none.
+	quarantine []byte
 }
 
 // readStored reads the lease and the maps as of one moment.
@@ -42,6 +44,10 @@
 			s.leaseVersion = row.Version
 			continue
 		}
+		if row.Key == quarantineKey {
+			s.quarantine = row.Value
+			continue
+		}
 		service, ok := strings.CutPrefix(row.Key, mapKey)
 		if !ok {
 			continue
@@ -66,6 +72,11 @@
 	for service, m := range s.maps {
 		c.board.SetMap(service, m)
 	}
+	if s.quarantine != nil {
+		if err := c.quarantine.TakeStored(s.quarantine); err != nil {
+			c.log("quarantine-refused", "error", err.Error())
+		}
+	}
 	c.mu.Lock()
 	c.observer.Saw(s.leaseVersion, s.lease.Vacant, c.clock.Now())
 	c.looked(begun)
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -86,6 +86,7 @@
 	c.setLeader(s.lease)
 	c.observer.Saw(s.leaseVersion, false, now)
 	c.mu.Unlock()
+	c.quarantine.Lead(s.lease.Term)
 	c.log("lease-taken", "term", s.lease.Term, "lease", s.leaseVersion)
 	return t
 }
@@ -112,6 +113,7 @@
 	t.mu.Lock()
 	t.holder.Drop()
 	t.mu.Unlock()
+	t.c.quarantine.Follow()
 	t.c.log("lease-ended", "term", t.stored.lease.Term)
 	close(t.exited)
 }
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -9,18 +9,28 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint identifies what a caller asks for: requests with the same method, host, path, query,
-// caller and body have the same one, whatever their ids and through whichever instance they come.
+// Fingerprint identifies what is asked for: requests with the same method, path, query and body have the
+// same one, whatever their ids and through whichever instance they come. The host is left out: a caller
+// that addresses instances one by one names each.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request with a body that has been read.
-func FingerprintOf(r *http.Request, body []byte) Fingerprint {
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
+// Identity says who asks for what.
+type Identity struct {
+	Content Fingerprint
+	// Caller stands for the address that the request comes from.
+	Caller uint64
+}
+
+// IdentityOf returns the identity of a request with a body that has been read.
+func IdentityOf(r *http.Request, body []byte) Identity {
 	h := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.RequestURI, CallerOf(r)} {
+	for _, part := range []string{r.Method, r.RequestURI} {
 		writePart(h, []byte(part))
 	}
 	writePart(h, body)
-	return Fingerprint(h.Sum64())
+	return Identity{Content: Fingerprint(h.Sum64()), Caller: xxhash.Sum64String(CallerOf(r))}
 }
 
 // writePart adds a part with its length, so that no two lists of parts look alike.
@@ -41,5 +51,3 @@
 	}
 	return host
 }
-
-func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -1,12 +1,16 @@
-package quarantine
+package quarantine_test
 
 import (
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lycheehall.example/lycheehall/coordination/quarantine"
 )
 
 func TestQuarantine(t *testing.T) {
@@ -20,24 +24,252 @@
 	return r
 }
 
-var _ = Describe("a fingerprint", func() {
-	first := FingerprintOf(request("GET", "/a?b=1", "10.0.0.1:1000"), []byte("body"))
+var _ = Describe("an identity", func() {
+	first := quarantine.IdentityOf(request("GET", "/a?b=1", "10.0.0.1:1000"), []byte("body"))
 
-	It("is the same for a request that comes again over another connection, with another id", func() {
+	It("is the same for a request that comes again at another instance, with another id", func() {
 		again := request("GET", "/a?b=1", "10.0.0.1:2000")
+		again.Host = "10.9.0.2:8080"
 		again.Header.Set("Request-Id", "other")
-		Expect(FingerprintOf(again, []byte("body"))).To(Equal(first))
+		Expect(quarantine.IdentityOf(again, []byte("body"))).To(Equal(first))
+	})
+
+	It("tells callers of the same apart", func() {
+		other := quarantine.IdentityOf(request("GET", "/a?b=1", "10.0.0.2:1000"), []byte("body"))
+		Expect(other.Content).To(Equal(first.Content))
+		Expect(other.Caller).NotTo(Equal(first.Caller))
 	})
 
 	DescribeTable("differs where the request does", func(r *http.Request, body string) {
-		Expect(FingerprintOf(r, []byte(body))).NotTo(Equal(first))
+		Expect(quarantine.IdentityOf(r, []byte(body)).Content).NotTo(Equal(first.Content))
 	},
 		Entry("method", request("PUT", "/a?b=1", "10.0.0.1:1000"), "body"),
 		Entry("path", request("GET", "/b?b=1", "10.0.0.1:1000"), "body"),
 		Entry("query", request("GET", "/a?b=2", "10.0.0.1:1000"), "body"),
-		Entry("host", request("GET", "http://elsewhere/a?b=1", "10.0.0.1:1000"), "body"),
-		Entry("caller", request("GET", "/a?b=1", "10.0.0.2:1000"), "body"),
 		Entry("body", request("GET", "/a?b=1", "10.0.0.1:1000"), "other"),
-		Entry("where the path ends", request("GET", "/a?b=1", "10.0.0.1:1000"), ""),
+		Entry("no body", request("GET", "/a?b=1", "10.0.0.1:1000"), ""),
 	)
 })
+
+// wallClock tells a time of day that tests set.
+type wallClock struct{ now time.Time }
+
+func (c *wallClock) Now() time.Time { return c.now }
+
+func (c *wallClock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+func newClock() *wallClock { return &wallClock{now: time.Unix(1_800_000_000, 0)} }
+
+// by is a request of one caller's.
+func by(caller uint64) quarantine.Identity { return quarantine.Identity{Content: 7, Caller: caller} }
+
+func quarantined(r *quarantine.Registry, id quarantine.Identity) bool {
+	_, is := r.Quarantined(id)
+	return is
+}
+
+var _ = Describe("a registry", func() {
+	var (
+		c *wallClock
+		r *quarantine.Registry
+	)
+	BeforeEach(func() {
+		c = newClock()
+		r = quarantine.NewRegistry(c.Now)
+	})
+
+	It("quarantines a request under which two targets have ended, for its caller only", func() {
+		Expect(r.Crashed(by(1), "t1")).To(BeFalse())
+		c.pass(4 * time.Second)
+		Expect(r.Crashed(by(1), "t2")).To(BeTrue())
+		Expect(quarantined(r, by(1))).To(BeTrue())
+		Expect(quarantined(r, by(2))).To(BeFalse())
+		Expect(quarantined(r, quarantine.Identity{Content: 8, Caller: 1})).To(BeFalse())
+	})
+
+	It("counts a target that ends under two tries of a request once", func() {
+		r.Crashed(by(1), "t1")
+		Expect(r.Crashed(by(1), "t1")).To(BeFalse())
+	})
+
+	// A caller behind several gateways has another address each time.
+	It("quarantines for all what crashed targets for two callers", func() {
+		r.Crashed(by(1), "t1")
+		Expect(r.Crashed(by(2), "t2")).To(BeTrue())
+		Expect(quarantined(r, by(3))).To(BeTrue())
+	})
+
+	// Symptom: what many callers ask for all the time is refused. Sequence: two targets end for some
+	// other reason while they run it, and others go on to answer it.
+	It("does not quarantine what was answered in between", func() {
+		r.Crashed(by(1), "t1")
+		c.pass(time.Second)
+		r.Answered(by(1))
+		Expect(r.Crashed(by(1), "t2")).To(BeFalse())
+		r.Answered(by(3))
+		Expect(r.Crashed(by(2), "t3")).To(BeFalse())
+	})
+
+	It("takes an answer to one caller for no answer to another", func() {
+		r.Crashed(by(1), "t1")
+		r.Answered(by(2))
+		Expect(r.Crashed(by(1), "t2")).To(BeTrue())
+		Expect(quarantined(r, by(2))).To(BeFalse())
+	})
+
+	It("takes an answer for later than a crash that was seen by a clock that is ahead", func() {
+		ahead := &wallClock{now: c.now.Add(5 * time.Second)}
+		other := quarantine.NewRegistry(ahead.Now)
+		other.Crashed(by(1), "t1")
+		r.Merge(other.Unreported())
+		r.Answered(by(1))
+		ahead.pass(time.Second)
+		r.Merge(other.Unreported())
+		Expect(r.Crashed(by(1), "t2")).To(BeFalse())
+	})
+
+	It("forgets in the end", func() {
+		r.Crashed(by(1), "t1")
+		c.pass(11 * time.Minute)
+		Expect(r.Crashed(by(1), "t2")).To(BeFalse())
+		Expect(r.Crashed(by(1), "t3")).To(BeTrue())
+		c.pass(23 * time.Hour)
+		Expect(quarantined(r, by(1))).To(BeTrue())
+		c.pass(2 * time.Hour)
+		Expect(quarantined(r, by(1))).To(BeFalse())
+	})
+
+	// Symptom: a request that crashes targets is let in again. Sequence: a data centre is lost, and
+	// thousands of requests are noted that were running there.
+	It("keeps what is quarantined when there is much else to be known", func() {
+		r.Crashed(by(1), "t1")
+		r.Crashed(by(1), "t2")
+		for n := range 2000 {
+			c.pass(time.Millisecond)
+			r.Crashed(quarantine.Identity{Content: quarantine.Fingerprint(100 + n), Caller: 9}, "t3")
+		}
+		Expect(quarantined(r, by(1))).To(BeTrue())
+		Expect(len(r.Unreported())).To(BeNumerically("<=", 256))
+	})
+
+	It("is what it was after all is lost but the row in the store", func() {
+		r.Crashed(by(1), "t1")
+		text, err := r.ToStore()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(BeNil(), "one crash is no quarantine")
+		r.Crashed(by(1), "t2")
+		text, err = r.ToStore()
+		Expect(err).NotTo(HaveOccurred())
+		r.Stored(text)
+		again, err := r.ToStore()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(BeNil(), "the store has it already")
+
+		next := quarantine.NewRegistry(c.Now)
+		Expect(next.TakeStored(text)).To(Succeed())
+		Expect(quarantined(next, by(1))).To(BeTrue())
+		Expect(next.TakeStored([]byte("{"))).NotTo(Succeed())
+		Expect(quarantined(next, by(1))).To(BeTrue())
+	})
+})
+
+// exchange lets one registry report to another that leads, and be told.
+func exchange(from, leading *quarantine.Registry) {
+	report := from.Unreported()
+	since := from.Version()
+	leading.Merge(report)
+	from.Reported(report)
+	from.Adopt(leading.News(since))
+}
+
+var _ = Describe("registries of several instances", func() {
+	c := newClock()
+	var a, b, d *quarantine.Registry
+	BeforeEach(func() {
+		a, b, d = quarantine.NewRegistry(c.Now), quarantine.NewRegistry(c.Now), quarantine.NewRegistry(c.Now)
+		a.Lead(1)
+	})
+
+	It("know together what each has seen in part", func() {
+		b.Crashed(by(1), "t1")
+		d.Crashed(by(1), "t2")
+		exchange(b, a)
+		exchange(d, a)
+		exchange(b, a)
+		for _, r := range []*quarantine.Registry{a, b, d} {
+			Expect(quarantined(r, by(1))).To(BeTrue())
+		}
+		Expect(b.Unreported()).To(BeEmpty())
+		Expect(d.Unreported()).To(BeEmpty())
+	})
+
+	// Symptom: a quarantined request is let in again. Sequence: the leading instance is lost before it
+	// has told of a crash; one leads that has not heard of it.
+	It("tell the next leading instance what it lacks", func() {
+		b.Crashed(by(1), "t1")
+		exchange(b, a)
+		a = nil
+		d.Lead(2)
+		exchange(b, d)
+		exchange(b, d)
+		Expect(d.Crashed(by(1), "t2")).To(BeTrue())
+	})
+
+	It("go on to report what was on its way when something else was seen", func() {
+		b.Crashed(by(1), "t1")
+		report := b.Unreported()
+		b.Crashed(by(1), "t2")
+		a.Merge(report)
+		b.Reported(report)
+		exchange(b, a)
+		Expect(quarantined(a, by(1))).To(BeTrue())
+	})
+
+	It("say nothing when there is nothing new", func() {
+		b.Crashed(by(1), "t1")
+		exchange(b, a)
+		exchange(b, a)
+		version := a.Version()
+		exchange(b, a)
+		a.Merge(quarantine.Table{})
+		Expect(a.Version()).To(Equal(version))
+		table, _ := a.News(version)
+		Expect(table).To(BeNil())
+	})
+})
+
+// TestMerging checks that reports may come in any order and more than once.
+func TestMerging(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newClock()
+		var reports []quarantine.Table
+		for range rapid.IntRange(1, 4).Draw(t, "reports") {
+			e := quarantine.Entry{}
+			for range rapid.IntRange(0, 3).Draw(t, "crashes") {
+				e.Crashes = append(e.Crashes, quarantine.Crash{
+					Target: rapid.Uint64Range(1, 4).Draw(t, "target"), Caller: rapid.Uint64Range(1, 2).Draw(t, "caller"),
+					At: c.now.UnixMilli() + rapid.Int64Range(0, 3).Draw(t, "at"),
+				})
+			}
+			if rapid.Bool().Draw(t, "answered") {
+				e.Answers = []quarantine.Answer{{Caller: 1, At: c.now.UnixMilli() + rapid.Int64Range(0, 3).Draw(t, "answer")}}
+			}
+			reports = append(reports, quarantine.Table{7: e})
+		}
+		first, second := quarantine.NewRegistry(c.Now), quarantine.NewRegistry(c.Now)
+		for _, report := range reports {
+			first.Merge(report)
+		}
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, len(reports)-1), 0, 6).Draw(t, "order") {
+			second.Merge(reports[n])
+		}
+		for n := len(reports) - 1; n >= 0; n-- {
+			second.Merge(reports[n])
+		}
+		for caller := range uint64(3) {
+			if quarantined(first, by(caller)) != quarantined(second, by(caller)) {
+				t.Fatalf("caller %d: %v and %v after %v", caller, first.Unreported(), second.Unreported(), reports)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/coordination/quarantine/registry.go
@@ -0,0 +1,216 @@
+package quarantine
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Registry is what one instance knows. It is safe for concurrent use.
+type Registry struct {
+	now func() time.Time
+	// table is read without the lock on the path of each request.
+	table atomic.Pointer[Table]
+
+	mu sync.Mutex
+	// unreported is what the leading instance may not know.
+	unreported Table
+	// version is that of the leading instance's table which is known here, or told from here.
+	version Version
+	// leading is the term in which this instance leads; 0: it does not.
+	leading uint64
+	// stored is the content of the row in the store, as far as it is known.
+	stored []byte
+}
+
+// Version orders the tables that leading instances tell: by term, then by a count.
+type Version struct {
+	Term  uint64
+	Count uint64
+}
+
+// After reports whether v is newer than w.
+func (v Version) After(w Version) bool {
+	return v.Term > w.Term || v.Term == w.Term && v.Count > w.Count
+}
+
+// NewRegistry returns a registry that knows of no crash. Now tells the time of day.
+func NewRegistry(now func() time.Time) *Registry {
+	r := &Registry{now: now, unreported: Table{}}
+	r.table.Store(&Table{})
+	return r
+}
+
+// Empty reports whether nothing is known, so that no request has to be identified.
+func (r *Registry) Empty() bool { return len(*r.table.Load()) == 0 }
+
+// Quarantined reports whether a request is to reach no target, and for how long.
+func (r *Registry) Quarantined(id Identity) (left time.Duration, quarantined bool) {
+	e, known := (*r.table.Load())[id.Content]
+	if !known || !e.quarantined(id.Caller) {
+		return 0, false
+	}
+	left = e.until().Sub(r.now())
+	return left, left > 0
+}
+
+// Crashed notes that a life of a target ended while it ran a request. It reports whether the request
+// is quarantined now.
+func (r *Registry) Crashed(id Identity, target string) bool {
+	crash := Crash{Target: xxhash.Sum64String(target), Caller: id.Caller, At: r.now().UnixMilli()}
+	r.Merge(Table{id.Content: {Crashes: []Crash{crash}}})
+	_, quarantined := r.Quarantined(id)
+	return quarantined
+}
+
+// Answered notes that a target has answered a request.
+func (r *Registry) Answered(id Identity) {
+	e, known := (*r.table.Load())[id.Content]
+	if !known || e.answeredAt(func(a Answer) bool { return a.Caller == id.Caller }) >= e.crashedAt() {
+		return
+	}
+	// Clocks differ between instances: the answer came after whatever is known.
+	at := max(r.now().UnixMilli(), e.crashedAt())
+	r.Merge(Table{id.Content: {Answers: []Answer{{Caller: id.Caller, At: at}}}})
+}
+
+// Merge takes over what this instance has seen, or another one has reported to it.
+func (r *Registry) Merge(t Table) {
+	if len(t) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := *r.table.Load()
+	if !r.replace(before.merged(t, r.now())) {
+		return
+	}
+	if r.leading != 0 {
+		r.version.Count++
+		return
+	}
+	for f := range t {
+		if e, kept := (*r.table.Load())[f]; kept {
+			r.unreported[f] = e
+		}
+	}
+}
+
+// replace puts a table in the place of the present one, and reports whether they differ. The caller
+// holds the lock.
+func (r *Registry) replace(next Table) bool {
+	if next.equal(*r.table.Load()) {
+		return false
+	}
+	r.table.Store(&next)
+	return true
+}
+
+// Unreported returns what the leading instance may not know.
+func (r *Registry) Unreported() Table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unreported) == 0 {
+		return nil
+	}
+	return Table{}.merged(r.unreported, r.now())
+}
+
+// Reported notes that another instance, which passes it on, has got what Unreported returned.
+func (r *Registry) Reported(t Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f, e := range t {
+		if r.unreported[f].equal(e) {
+			delete(r.unreported, f)
+		}
+	}
+}
+
+// Version returns the version that is known here.
+func (r *Registry) Version() Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// News returns what is known here, if its version is newer than the given one.
+func (r *Registry) News(since Version) (Table, Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.version.After(since) {
+		return nil, Version{}
+	}
+	return *r.table.Load(), r.version
+}
+
+// Adopt takes over what the leading instance tells, directly or through others. What it lacks is
+// reported to it again: it may have come to lead without having heard of it.
+func (r *Registry) Adopt(t Table, version Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leading != 0 || !version.After(r.version) {
+		return
+	}
+	r.version = version
+	before := *r.table.Load()
+	for f, e := range before.lacking(t) {
+		r.unreported[f] = e
+	}
+	r.replace(before.merged(t, r.now()))
+}
+
+// Lead makes this instance the one that tells all others, in its term.
+func (r *Registry) Lead(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leading = term
+	r.version = Version{Term: term, Count: 1}
+	clear(r.unreported)
+}
+
+// Follow ends that.
+func (r *Registry) Follow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leading = 0
+}
+
+// TakeStored takes over the content of the row in the store.
+func (r *Registry) TakeStored(text []byte) error {
+	t, err := Decode(text)
+	if err != nil {
+		return err
+	}
+	r.Merge(t)
+	r.Stored(text)
+	return nil
+}
+
+// ToStore returns what the row in the store should hold, nil if it does so.
+func (r *Registry) ToStore() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := *r.table.Load()
+	if len(t) == 0 && r.stored == nil {
+		return nil, nil
+	}
+	text, err := t.encode()
+	if err != nil {
+		return nil, err
+	}
+	if r.stored == nil && len(text) == len("{}") || bytes.Equal(text, r.stored) {
+		return nil, nil
+	}
+	return text, nil
+}
+
+// Stored notes the content of the row in the store.
+func (r *Registry) Stored(text []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = text
+}
--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -135,7 +135,10 @@
 var _ = Describe("a request that crashes each target that runs it", func() {
 	// Symptom: one target after the other ends, for as long as the request comes again; requests
 	// beside it fail. Sequence: it comes four times, through different instances, and goes on to
-	// come three seconds later. Cause: no instance knew that targets had ended under it.
+	// come three seconds later. Cause: each arrival was judged by itself, at its instance; that targets
+	// had ended under the same request was known to nobody. Evidence: as many targets ended as the
+	// request came times, whichever instance it came through, and target-ended lines with one
+	// fingerprint stood in the logs of several instances.
 	It("reaches hardly any targets once it has crashed three, through any instance", func() {
 		f := startFragile()
 		f.crash(4)
@@ -146,7 +149,8 @@
 		}
 	})
 
-	// Sequence: the same, and then all instances are killed at once and started again.
+	// Sequence: the same, and then all instances are killed at once and started again. Cause: what was
+	// known was in their memory only.
 	It("reaches hardly any also after all instances were killed", func() {
 		f := startFragile()
 		f.crash(4)
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -7,6 +7,7 @@
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/timeline"
 )
@@ -66,6 +67,10 @@
 	StoreAnswers bool
 	// Leaving says that the sender shuts down and takes no duties.
 	Leaving bool
+	// Quarantine is what the receiver may not know of requests under which targets have ended.
+	// QuarantineVersion is the version of the leading instance's table that the sender knows.
+	Quarantine        quarantine.Table
+	QuarantineVersion quarantine.Version
 	// Lamport is the sender's time of the time line.
 	Lamport uint64
 }
@@ -123,6 +128,10 @@
 	Instances        []view.Instance
 	InstancesGone    []string
 	InstancesWhole   bool
+	// QuarantineVersion is given when it is newer than the one in the report, with all that is known
+	// of requests under which targets have ended.
+	Quarantine        quarantine.Table
+	QuarantineVersion quarantine.Version
 	// Lamport is the sender's time of the time line.
 	Lamport uint64
 }
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
 )
@@ -66,6 +67,11 @@
 	// given is how long the caller says that it waits; 0: it does not say.
 	given time.Duration
 
+	// identity says who asks for what, once that was wanted.
+	identity *quarantine.Identity
+	// crashed are the targets that ended while they had the request.
+	crashed []string
+
 	// What follows is told in the log.
 	tries   int
 	targets []string
@@ -88,6 +94,9 @@
 	if res, ok := c.readBody(); !ok {
 		return res
 	}
+	if res, ok := c.mayReachTargets(); !ok {
+		return res
+	}
 	leave, ok := c.h.limits.admit(c.snapshot.Rules, c.decision.Rule)
 	if !ok {
 		return result{refusal: refusal{http.StatusTooManyRequests, "limit", limitRetry}}
@@ -97,7 +106,9 @@
 	if c.keyed {
 		c.h.collector.Arrived(c.service.Name, c.decision.Rule.Name, c.key)
 	}
-	return c.run(ctx)
+	res := c.run(ctx)
+	c.noteCrashes(res)
+	return res
 }
 
 // decide lets the rules decide about the request.
--- a/transport/front/doc.go
+++ b/transport/front/doc.go
@@ -15,6 +15,9 @@
 //	answer with a failure             only if idempotent that answer
 //	whole answer                      no                 that answer
 //
+// A request under which targets have ended, here or at other instances, is not sent any more by any of
+// these ways; see crash.go.
+//
 // Once one try of a request has an unknown outcome, it is never again said not to have run.
 //
 // Lock order: the locks of Budget, Weights and Patience are leaves. No lock is held during
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -13,6 +13,7 @@
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/upstream"
@@ -38,6 +39,8 @@
 	DataCentre string
 	// MaxBody is the largest body accepted, in bytes.
 	MaxBody int64
+	// Quarantine knows the requests that are to reach no target; nil: none are known from elsewhere.
+	Quarantine *quarantine.Registry
 }
 
 // Handler is the HTTP handler for callers.
@@ -65,6 +68,9 @@
 
 // NewHandler returns a handler. Instance makes the ids of its attempts unique.
 func NewHandler(config Config, c clock.Clock, instance string, board *view.Board, up Upstream, permits Permits, collector *demand.Collector, budget *Budget, log Log) *Handler {
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.NewRegistry(time.Now)
+	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
 		budget: budget, weights: NewWeights(), patience: NewPatience(), limits: newLimits(), log: log, start: instance,
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -25,6 +25,11 @@
 		c.await(wait, lookAgain)
 		return notRun("no-target", lostRetry), c.tries < maxTries && wait.Err() == nil
 	}
+	if res, ok := c.mayReachTargets(); !ok {
+		// It waited while it crashed targets elsewhere.
+		c.h.permits.Release(c.report(p, permit.Dropped, 0))
+		return res, false
+	}
 	c.tries++
 	begun := time.Now()
 	answer, err := c.h.upstream.Do(ctx, c.upstreamTarget(t), c.request())
@@ -41,14 +46,6 @@
 	return c.judge(ctx, wait, answer, err)
 }
 
-// ended tells that a target has ended while it had the request.
-func (c *call) ended(t view.Target, took time.Duration) {
-	targetsEnded.Inc()
-	c.h.log("target-ended", "request", c.id, "target", t.ID, "service", c.service.Name, "rule", c.decision.Rule.Name,
-		"took_ms", took.Milliseconds(), "fingerprint", quarantine.FingerprintOf(c.r, c.body).String(),
-		"method", c.r.Method, "uri", c.r.RequestURI, "caller", quarantine.CallerOf(c.r), "body_bytes", len(c.body))
-}
-
 func (c *call) report(p permit.Permit, res permit.Result, took time.Duration) permit.Report {
 	return permit.Report{ID: p.ID, Target: p.Target, Rule: c.decision.Rule.Name, Result: res, Took: took}
 }
@@ -138,7 +135,7 @@
 // the time left, and the budget that all instances share.
 func (c *call) mayRepeat(ctx context.Context) bool {
 	expected := c.h.collector.Expected(c.decision.Rule.Name)
-	if len(c.targets) >= c.then.MaxAttempts || time.Until(c.deadline) < expected || ctx.Err() != nil {
+	if len(c.targets) >= c.then.MaxAttempts || len(c.crashed) >= quarantine.Limit || time.Until(c.deadline) < expected || ctx.Err() != nil {
 		return false
 	}
 	return c.h.budget.Repeat(c.service.Name, len(c.snapshot.Instances), c.isLast(expected))
