Read what targets say of themselves in their answers, and tell it

Callers' requests reached a target for seconds after its answers had said that it leaves. No line told that an answer said so, when, and through which instance.

Now the header is known, and so is the time in a refusal for which a target wants nothing; the first word of leaving and each pause have a line. What another target at the address says is left out. No decision about requests is changed.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -228,7 +228,9 @@
 		select {
 		case <-ticker.C:
 			targets := i.board.Load().Targets
-			i.pool.Sweep(func(id string) bool { _, known := targets[id]; return known })
+			listed := func(id string) bool { _, known := targets[id]; return known }
+			i.pool.Sweep(listed)
+			i.handler.Forget(listed)
 		case <-ctx.Done():
 			return
 		}
--- a/protocol/wire/names.go
+++ b/protocol/wire/names.go
@@ -13,6 +13,8 @@
 	Target string
 	// NotRun in a target's answer says that the request did not run.
 	NotRun string
+	// Leaving in a target's answer says that the target is about to leave.
+	Leaving string
 	// Key holds the number of the key, 0 to 65535.
 	Key string
 	// ReadyPath is the path of the balancer's health check.
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -55,6 +55,7 @@
 	weights   *Weights
 	patience  *Patience
 	limits    *limits
+	standing  *Standing
 	log       Log
 
 	attempts atomic.Uint64
@@ -73,7 +74,7 @@
 	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
-		budget: budget, weights: NewWeights(), patience: NewPatience(), limits: newLimits(), log: log, start: instance,
+		budget: budget, weights: NewWeights(), patience: NewPatience(), limits: newLimits(), standing: NewStanding(c), log: log, start: instance,
 	}
 	h.closing, h.endWaits = context.WithCancel(context.Background())
 	h.ending, h.endWork = context.WithCancel(context.Background())
@@ -90,6 +91,9 @@
 // EndWork answers the requests that targets still work on; their outcome is unknown.
 func (h *Handler) EndWork() { h.endWork() }
 
+// Forget drops what was said long ago by targets that are gone.
+func (h *Handler) Forget(listed func(target string) bool) { h.standing.Forget(listed) }
+
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -36,6 +36,7 @@
 	took := time.Since(begun)
 	c.targets = append(c.targets, t.ID)
 	c.lastErr = err
+	c.heard(t, wordOf(answer, err))
 	if errors.Is(err, upstream.ErrEnded) {
 		c.ended(t, took)
 	}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,9 +28,18 @@
 	ErrEnded = errors.New("upstream: the target has ended")
 )
 
+// Word is what a target says of itself beside an answer.
+type Word struct {
+	// Leaving says that the target is about to leave.
+	Leaving bool
+	// Pause is how long the target wants nothing more from this instance; 0: it does not say.
+	Pause time.Duration
+}
+
 // NotRunError is a target's word that it did not run a request.
 type NotRunError struct {
 	Status int
+	Word   Word
 }
 
 func (e *NotRunError) Error() string { return fmt.Sprintf("%v: status %d", ErrNotRun, e.Status) }
@@ -57,6 +67,7 @@
 	Body   []byte
 	// Closes says that the target closes the connection, as one that leaves does.
 	Closes bool
+	Word   Word
 }
 
 // Target is where a request goes.
@@ -79,6 +90,8 @@
 	// the windows of a connection, so that writing it cannot block on a target that does
 	// not read.
 	inlineBody = 2 << 10
+	// longestPause bounds what is taken from a Retry-After header, which could overflow a duration.
+	longestPause = 24 * time.Hour
 )
 
 // Client sends requests to targets.
@@ -255,10 +268,34 @@
 func (x *exchange) judge(resp *http.Response, body []byte) (*Answer, error) {
 	names := x.client.names
 	if resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
-		return nil, &NotRunError{Status: resp.StatusCode}
+		return nil, &NotRunError{Status: resp.StatusCode, Word: x.word(resp)}
 	}
 	if resp.Header.Get(names.Signature) == "" || resp.Header.Get(names.RequestID) != x.request.ID {
 		return nil, fmt.Errorf("%w: status %d without the target's signature", ErrBroken, resp.StatusCode)
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Closes: resp.Close}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Closes: resp.Close, Word: x.word(resp)}, nil
+}
+
+// word returns what the target says of itself. Another one that has come to its address speaks for
+// itself only.
+func (x *exchange) word(resp *http.Response) Word {
+	names := x.client.names
+	if who := resp.Header.Get(names.TargetIs); who != "" && who != x.target.Name {
+		return Word{}
+	}
+	w := Word{Leaving: resp.Header.Get(names.Leaving) != ""}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		w.Pause = pauseOf(resp.Header.Get("Retry-After"))
+	}
+	return w
+}
+
+// pauseOf reads a Retry-After header in seconds, which may have a fraction. Whatever else it holds says
+// nothing.
+func pauseOf(header string) time.Duration {
+	seconds, err := strconv.ParseFloat(header, 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, longestPause.Seconds()) * float64(time.Second))
 }
