--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -110,6 +110,7 @@
 	before  func()
 	mu      sync.Mutex
 	reports []permit.Report
+	asks    []permit.Ask
 }
 
 func (p *permits) Acquire(_ context.Context, ask permit.Ask) (permit.Permit, error) {
@@ -119,6 +120,9 @@
 	if p.before != nil {
 		p.before()
 	}
+	p.mu.Lock()
+	p.asks = append(p.asks, ask)
+	p.mu.Unlock()
 	target := ask.Target
 	if target == "" {
 		target = "p1"
--- /dev/null
+++ b/transport/front/standing_test.go
@@ -0,0 +1,143 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/transport/upstream"
+)
+
+// says is a try that is answered with a word of the target's.
+func says(w upstream.Word) func(context.Context) (*upstream.Answer, error) {
+	return func(context.Context) (*upstream.Answer, error) {
+		return &upstream.Answer{Status: 200, Header: http.Header{"Signed": {"yes"}}, Body: []byte("whole"), Word: w}, nil
+	}
+}
+
+// pauses is a try that the target turns away, wanting nothing for a time.
+func pauses(d time.Duration) func(context.Context) (*upstream.Answer, error) {
+	return fails(&upstream.NotRunError{Status: 503, Word: upstream.Word{Pause: d}})
+}
+
+// later makes what targets have said so far older.
+func (f *fixture) later(d time.Duration) {
+	s := f.h.standing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, known := range s.targets {
+		known.leavingAt = known.leavingAt.Add(-d)
+		known.pausedUntil = known.pausedUntil.Add(-d)
+		s.targets[id] = known
+	}
+}
+
+// A target's word binds by every way that a request can take to it.
+var _ = Describe("a target that has said that it leaves", func() {
+	const drainTime = 2 * time.Second
+
+	It("gets requests for its keys for a while, and none after that", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+		f.later(drainTime)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(2))
+	})
+
+	It("gets none that waited for a slot until then", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("POST", "/k/a")
+		f.permits.before = func() { f.later(drainTime) }
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(1))
+	})
+
+	It("gets none that it has turned away before", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true}), shed}
+		f.do("POST", "/k/a")
+		f.permits.before = func() {
+			if len(f.up.tries) == 2 {
+				f.later(drainTime)
+			}
+		}
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(2))
+	})
+
+	It("gets none without a key from then on, where there are others", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("GET", "/p")
+		f.do("GET", "/p")
+		Expect(f.permits.asks[1].Exclude).To(ContainElement("p1"))
+	})
+
+	It("gets none without a key after a while, whoever hands out its slots", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("GET", "/p")
+		f.later(drainTime)
+		Expect(f.do("GET", "/p").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(1))
+	})
+
+	It("is remembered while the registry has lost it", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("POST", "/k/a")
+		f.h.Forget(func(string) bool { return false })
+		f.later(drainTime)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+	})
+})
+
+var _ = Describe("a target that wants nothing for a time", func() {
+	It("gets nothing until then, and its callers are told when", func() {
+		f := newFixture()
+		f.up.next = play{pauses(3 * time.Second)}
+		w := f.do("POST", "/k/a")
+		Expect(w.Code).To(Equal(503))
+		Expect(w.Header().Get("Retry-After")).To(MatchRegexp(`^(3\.0|2\.9)`))
+		for range 3 {
+			w = f.do("POST", "/k/a")
+			Expect(w.Code).To(Equal(503))
+			Expect(w.Header().Get("Retry-After")).To(MatchRegexp(`^(3\.0|2\.\d)`))
+		}
+		Expect(f.up.tries).To(HaveLen(1))
+		f.later(3 * time.Second)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+	})
+
+	It("is waited for when the time is short", func() {
+		f := newFixture()
+		f.up.next = play{pauses(100 * time.Millisecond)}
+		begun := time.Now()
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+		Expect(time.Since(begun)).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+
+	It("gets nothing that waited for a slot meanwhile", func() {
+		f := newFixture()
+		f.permits.before = func() { f.h.standing.Heard("k1", upstream.Word{Pause: 3 * time.Second}) }
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.up.tries).To(BeEmpty())
+		Expect(f.permits.reports[0].Result).To(Equal(permit.Dropped))
+	})
+
+	It("gets nothing without a key", func() {
+		f := newFixture()
+		f.up.next = play{pauses(3 * time.Second)}
+		f.do("GET", "/p")
+		Expect(f.permits.asks[len(f.permits.asks)-1].Exclude).To(ContainElement("p1"))
+		Expect(f.do("GET", "/p").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(1))
+	})
+})
