Heed what targets say of themselves in their answers

Callers' requests reached a target up to seconds after its answers had said that it leaves, for as long as the store was away.

Cause: the registry was the only way by which an instance learnt that a target leaves; what the target said in its answers was passed on to callers and not read. The pause that a target may ask for in a refusal had the same cause: it was not read either, and a request for one of its keys was sent to it again at once.

Now an instance that was told so sends a target nothing from 1.7 s after the first word on, and nothing during a pause, and looks at that before each try. Requests without keys avoid such targets at once. Requests for keys of an owner that has left are refused at once while neither the leading instance nor the store answers, since nobody can give the keys on; otherwise they wait for that as for any move. The leading instance is told who said so and empties the target. A pool refuses at once a request that is to avoid all its targets; it held it until its time was over.

Ruled out: to tell all other instances, which have not been told themselves (they would stop serving keys that nobody else can have); to forget the word with the entry in the registry (entries lapse while the store is away).

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -12,6 +12,7 @@
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/standing"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 	"lycheehall.example/lycheehall/state/store"
@@ -44,6 +45,8 @@
 	// Quarantine is what this instance knows of requests under which targets have ended; nil: nothing
 	// that others of its process have to do with.
 	Quarantine *quarantine.Registry
+	// Standing is what targets have said of themselves to this instance; nil: nothing is heard here.
+	Standing *standing.Registry
 }
 
 // Rows of ours in the store. The lease and the maps share a part, so that each change of a
@@ -69,6 +72,8 @@
 	total     *demand.Total
 	log       Log
 	reader    *reader
+	// standing is what targets have said that they leave; the leading instance empties them.
+	standing *standing.Registry
 	// quarantine is told and collected along with the reports.
 	quarantine *quarantine.Registry
 
@@ -133,10 +138,13 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewRegistry(time.Now)
 	}
+	if config.Standing == nil {
+		config.Standing = standing.NewRegistry(c)
+	}
 	return &Coordinator{
 		config: config, clock: c, store: s, board: board, peers: peers, orders: orders,
 		collector: collector, total: demand.NewTotal(), log: log,
-		reader: newReader(c, s, config.Source, board, log), quarantine: config.Quarantine,
+		reader: newReader(c, s, config.Source, board, log), quarantine: config.Quarantine, standing: config.Standing,
 		wake: make(chan struct{}, 1), lastSync: clock.Never, storeOK: true,
 		leaderKnown: make(chan struct{}), heard: make(chan struct{}), lookedAt: clock.Never, answeredAt: clock.Never, started: c.Now(),
 		silent: map[string]clock.Instant{}, below: map[string]*downstream{}, leaderAnsweredAt: clock.Never, relaysAnsweredAt: clock.Never, refreshAt: clock.Never, outage: newOutage(), handedOver: clock.Never, mayRead: make(chan struct{}),
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -136,7 +136,8 @@
 		StoreAnswers: answers,
 		Self:         c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
 		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
-		Quarantine: c.quarantine.Unreported(), QuarantineVersion: c.quarantine.Version(),
+		LeavingTargets: c.leavingTargets(snapshot),
+		Quarantine:     c.quarantine.Unreported(), QuarantineVersion: c.quarantine.Version(),
 	}
 	if refused {
 		args.RulesVersion = 0
@@ -147,6 +148,11 @@
 	return args
 }
 
+// leavingTargets returns the targets that have said that they leave.
+func (c *Coordinator) leavingTargets(s *view.Snapshot) []string {
+	return c.standing.Leaving(func(id string) bool { _, listed := s.Targets[id]; return listed })
+}
+
 // follows reports whether an instance that leads has just answered this one.
 func (c *Coordinator) follows() bool {
 	c.mu.Lock()
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -16,6 +16,7 @@
 // Sync answers a report of another instance, as soon as there is something new for it.
 func (c *Coordinator) Sync(ctx context.Context, args *peerapi.SyncArgs) *peerapi.SyncReply {
 	c.quarantine.Merge(args.Quarantine)
+	c.standing.Report(args.LeavingTargets)
 	c.mu.Lock()
 	t := c.term
 	c.mu.Unlock()
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -164,6 +165,7 @@
 		return
 	}
 	t.seen = snapshot
+	leaving := t.c.leavingTargets(snapshot)
 	for _, s := range snapshot.Rules.Services() {
 		if !s.Keyed {
 			continue
@@ -175,10 +177,24 @@
 			}, t.stored.maps[s.Name], now)
 			t.managers[s.Name] = m
 		}
-		m.SetTargets(now, snapshot.ByService[s.Name])
+		m.SetTargets(now, withWord(snapshot.ByService[s.Name], leaving))
 	}
 }
 
+// withWord returns a list of targets in which those that have said themselves that they leave are
+// draining. A target that does not reach the registry would keep its keys, which its callers' instances
+// do not send to it any more.
+func withWord(list []view.Target, leaving []string) []view.Target {
+	if len(leaving) == 0 {
+		return list
+	}
+	list = slices.Clone(list)
+	for i, t := range list {
+		list[i].Draining = t.Draining || slices.Contains(leaving, t.ID)
+	}
+	return list
+}
+
 // policy is when a service's keys move for balance.
 func (c *Coordinator) policy(imbalance float64) keyrange.Policy {
 	policy := c.config.Policy
--- a/coordination/lead/tree_test.go
+++ b/coordination/lead/tree_test.go
@@ -204,6 +204,16 @@
 		Expect(g.leader.board.Load().Instances).To(HaveLen(120))
 	})
 
+	// Symptom: the keys of a target that leaves stay with it, and nobody sends it anything. Sequence: it
+	// does not reach the registry, and says so to one instance only, which reports through a relay.
+	It("tells the leading instance of a target that has said that it leaves", func() {
+		g := newGrown(120, 5)
+		g.start()
+		g.all[g.list[119].Address].standing.Heard("x", true, 0)
+		Eventually(func() []string { return g.leader.leavingTargets(g.leader.board.Load()) }, "1.5s", "20ms").Should(ConsistOf("x"))
+		Expect(withWord([]view.Target{{ID: "x"}, {ID: "y"}}, []string{"x"})).To(Equal([]view.Target{{ID: "x", Draining: true}, {ID: "y"}}))
+	})
+
 	It("tells the leading instance of one that leaves", func() {
 		g := newGrown(120, 5)
 		g.start()
--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -207,6 +208,16 @@
 		Expect(p.Target).To(Equal("a"))
 	})
 
+	// Symptom: a caller is refused only when its time is over. Sequence: the only target that it has not
+	// tried leaves, or wants nothing for a time. Cause: the request waited for a slot that it could not use.
+	g.It("refuses at once a request that is to avoid all targets", func() {
+		f := newFixture(two(1)...)
+		_, _, err := f.ask(func(a *Ask) { a.Exclude = []string{"a", "b"} })
+		var refused *RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Reason).To(Equal(ReasonNoTarget))
+	})
+
 	g.It("says so when there is no target", func() {
 		_, _, err := newFixture().ask(nil)
 		Expect(err).To(MatchError(ContainSubstring(ReasonNoTarget)))
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -206,6 +206,9 @@
 	if len(p.order) == 0 {
 		return Permit{}, false, &RefusedError{Reason: ReasonNoTarget, RetryAfter: time.Second}
 	}
+	if !p.serves(w) {
+		return Permit{}, false, &RefusedError{Reason: ReasonNoTarget, RetryAfter: time.Second}
+	}
 	if s := p.pick(w, now); s != nil && !p.outranked(w, now) {
 		return p.grant(w, s, now), false, nil
 	}
@@ -220,6 +223,12 @@
 	return Permit{}, true, nil
 }
 
+// serves reports whether there is a target that a request is not to avoid. One without would wait in the
+// queue until its time is over.
+func (p *pool) serves(w *waiter) bool {
+	return slices.ContainsFunc(p.order, func(s *slot) bool { return !slices.Contains(w.ask.Exclude, s.Target) })
+}
+
 // worthUntil is when the answer must be there for the request to be queued. While there is
 // more work than slots, each request that is served late keeps a later one from being
 // served in time, so that in the end all are late; so only those that can still be in time
--- /dev/null
+++ b/coordination/standing/standing.go
@@ -0,0 +1,165 @@
+// Package standing holds what targets say of themselves in their answers: that they leave, or that they
+// want nothing from an instance for a time.
+//
+// The registry tells the first as well, but only as long as its store is there and the target reaches
+// it; an answer reaches whoever asked. What a target says to an instance binds that instance from then
+// on. To the leading one it is told as well, so that it gives the target's keys to others; it binds no
+// other instance, since a target that leaves goes on to serve for a while, and while the store is away
+// nobody else can have its keys.
+//
+// Lock order: the Registry's lock is a leaf.
+package standing
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+const (
+	// LeaveAfter is how long after a target's first word that it leaves it is still sent to. It must get
+	// nothing 2 s after an instance has passed that word on.
+	LeaveAfter = 1700 * time.Millisecond
+	// keepFor is how long what a target has said is kept once it is not listed any more. The registry
+	// loses entries of targets that live while its store is away.
+	keepFor = 10 * time.Minute
+	// reportedFor is how long the word of a target counts that another instance has reported; it goes
+	// on to report it, several times a second.
+	reportedFor = 3 * time.Second
+)
+
+// Registry is what targets have said to one instance. It is safe for concurrent use.
+type Registry struct {
+	clock clock.Clock
+
+	mu sync.Mutex
+	// said is what was said to this instance.
+	said map[string]said
+	// reported are the targets that have told others that they leave, and when those last reported it.
+	reported map[string]clock.Instant
+}
+
+// said is what one life of a target has said.
+type said struct {
+	// leavingAt is when it first said that it leaves; Never: it has not.
+	leavingAt clock.Instant
+	// pausedUntil is until when it wants nothing.
+	pausedUntil clock.Instant
+	heardAt     clock.Instant
+}
+
+// NewRegistry returns a registry to which nothing was said.
+func NewRegistry(c clock.Clock) *Registry {
+	return &Registry{clock: c, said: map[string]said{}, reported: map[string]clock.Instant{}}
+}
+
+// Heard notes what a target has said with an answer: that it leaves, and for how long it wants nothing,
+// 0 for neither. It reports whether it said for the first time that it leaves.
+func (r *Registry) Heard(target string, leaving bool, pause time.Duration) (first bool) {
+	if !leaving && pause <= 0 {
+		return false
+	}
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.said[target]
+	if !known {
+		s = said{leavingAt: clock.Never, pausedUntil: clock.Never}
+	}
+	s.heardAt = now
+	if pause > 0 {
+		s.pausedUntil = s.pausedUntil.Later(now.Add(pause))
+	}
+	if leaving && s.leavingAt == clock.Never {
+		s.leavingAt = now
+		first = true
+	}
+	r.said[target] = s
+	return first
+}
+
+// Left reports whether a target said so long ago that it leaves that nothing may be sent to it.
+func (r *Registry) Left(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.said[target]
+	return known && s.leavingAt != clock.Never && r.clock.Now().Sub(s.leavingAt) > LeaveAfter
+}
+
+// Pause returns for how much longer a target wants nothing.
+func (r *Registry) Pause(target string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.said[target]
+	if !known || s.pausedUntil == clock.Never {
+		return 0
+	}
+	return max(0, s.pausedUntil.Sub(r.clock.Now()))
+}
+
+// Avoid returns the targets that leave or want nothing now. Where others do as well, nothing is sent to
+// them.
+func (r *Registry) Avoid() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var list []string
+	for id, s := range r.said {
+		if s.leavingAt != clock.Never || s.pausedUntil > now {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Report notes the targets that have told another instance that they leave.
+func (r *Registry) Report(targets []string) {
+	if len(targets) == 0 {
+		return
+	}
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range targets {
+		r.reported[id] = now
+	}
+}
+
+// Leaving returns the targets that have told this instance, or others that reported to it, that they
+// leave, as far as they are listed.
+func (r *Registry) Leaving(listed func(target string) bool) []string {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for id, s := range r.said {
+		if s.leavingAt != clock.Never && listed(id) {
+			list = append(list, id)
+		}
+	}
+	for id, at := range r.reported {
+		if now.Sub(at) > reportedFor {
+			delete(r.reported, id)
+			continue
+		}
+		if listed(id) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// Forget drops what was said long ago by targets that are not listed any more.
+func (r *Registry) Forget(listed func(target string) bool) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, s := range r.said {
+		if now.Sub(s.heardAt) > keepFor && now > s.pausedUntil && !listed(id) {
+			delete(r.said, id)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/standing/standing_test.go
@@ -0,0 +1,96 @@
+package standing_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/standing"
+)
+
+func TestStanding(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Standing")
+}
+
+// handClock is a clock that tests set.
+type handClock struct{ now clock.Instant }
+
+func (c *handClock) Now() clock.Instant { return c.now }
+
+func (c *handClock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+var _ = Describe("what targets say of themselves", func() {
+	var (
+		c *handClock
+		r *standing.Registry
+	)
+	BeforeEach(func() {
+		c = &handClock{now: clock.Instant(time.Hour)}
+		r = standing.NewRegistry(c)
+	})
+	all := func(string) bool { return true }
+	none := func(string) bool { return false }
+
+	It("counts from the first word", func() {
+		Expect(r.Heard("t", true, 0)).To(BeTrue())
+		c.pass(standing.LeaveAfter - time.Millisecond)
+		Expect(r.Heard("t", true, 0)).To(BeFalse())
+		Expect(r.Left("t")).To(BeFalse())
+		c.pass(2 * time.Millisecond)
+		Expect(r.Left("t")).To(BeTrue())
+		Expect(r.Left("other")).To(BeFalse())
+	})
+
+	It("does not take back a word that an answer lacks", func() {
+		r.Heard("t", true, 0)
+		r.Heard("t", false, 0)
+		r.Heard("t", false, time.Second)
+		c.pass(standing.LeaveAfter + time.Millisecond)
+		Expect(r.Left("t")).To(BeTrue())
+	})
+
+	It("has the longest of several pauses", func() {
+		r.Heard("t", false, 3*time.Second)
+		c.pass(time.Second)
+		r.Heard("t", false, time.Second)
+		Expect(r.Pause("t")).To(Equal(2 * time.Second))
+		Expect(r.Avoid()).To(ConsistOf("t"))
+		c.pass(2 * time.Second)
+		Expect(r.Pause("t")).To(BeZero())
+		Expect(r.Avoid()).To(BeEmpty())
+		Expect(r.Left("t")).To(BeFalse())
+	})
+
+	It("is kept while the registry has lost a target, and not for ever", func() {
+		r.Heard("t", true, 0)
+		c.pass(time.Minute)
+		r.Forget(none)
+		Expect(r.Left("t")).To(BeTrue())
+		c.pass(time.Hour)
+		r.Forget(all)
+		Expect(r.Left("t")).To(BeTrue())
+		r.Forget(none)
+		Expect(r.Left("t")).To(BeFalse())
+	})
+
+	It("binds only who was told; others are told who leaves", func() {
+		r.Report([]string{"t"})
+		c.pass(standing.LeaveAfter + time.Millisecond)
+		Expect(r.Left("t")).To(BeFalse())
+		Expect(r.Avoid()).To(BeEmpty())
+		Expect(r.Leaving(all)).To(ConsistOf("t"))
+		Expect(r.Leaving(none)).To(BeEmpty())
+		c.pass(time.Minute)
+		Expect(r.Leaving(all)).To(BeEmpty())
+	})
+
+	It("names a target once that several were told by", func() {
+		r.Heard("t", true, 0)
+		r.Report([]string{"t", "u"})
+		Expect(r.Leaving(all)).To(Equal([]string{"t", "u"}))
+	})
+})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	"lycheehall.example/lycheehall/coordination/lead"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/standing"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/eventlog"
 	"lycheehall.example/lycheehall/protocol/peerapi"
@@ -69,6 +70,7 @@
 	board       *view.Board
 	broker      *broker
 	pool        *upstream.Pool
+	standing    *standing.Registry
 	handler     *front.Handler
 	coordinator *lead.Coordinator
 	peerClient  *peers.Client
@@ -146,16 +148,17 @@
 	i.broker = newBroker(i.self, i.clock, i.board, i.peerClient, i.log.Event)
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
-	known := quarantine.NewRegistry(time.Now)
+	crashes := quarantine.NewRegistry(time.Now)
+	i.standing = standing.NewRegistry(i.clock)
 	i.budget = front.NewBudget(i.clock, front.BudgetConfig{
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
 	i.handler = front.NewHandler(
-		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: known},
+		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: crashes, Standing: i.standing},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
-		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balance, Quarantine: known},
+		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balance, Quarantine: crashes, Standing: i.standing},
 		i.clock, i.platform.Store, i.board, &stampedPeers{i.peerClient, i.log}, orderClient, collector, i.log.Event)
 	i.callers = &http.Server{Handler: i.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes}
 	ready := http.NewServeMux()
@@ -230,7 +233,7 @@
 			targets := i.board.Load().Targets
 			listed := func(id string) bool { _, known := targets[id]; return known }
 			i.pool.Sweep(listed)
-			i.handler.Forget(listed)
+			i.standing.Forget(listed)
 		case <-ctx.Done():
 			return
 		}
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -37,7 +37,9 @@
 var _ = Describe("a target that says that it leaves", func() {
 	// Symptom: a target that has said that it leaves gets requests for as long as the store is away.
 	// Sequence: the store stops; the target says so in its answers, since it cannot in the registry;
-	// instances pass these answers on.
+	// instances pass these answers on. Cause: only the registry was heeded; what a target said in an
+	// answer went to the caller and no further. Evidence: requests to it at the same pace before and
+	// after the first such answer, with keys and without, at all instances, until the store was back.
 	It("gets nothing through an instance 2 s after it has told it so, while the store is away", func() {
 		d := startDeployment()
 		leaver := d.ownerOf("key1")
@@ -60,8 +62,9 @@
 		}
 	})
 
-	// Sequence: the store is well, and the target cannot reach the registry. Its keys go to others all
-	// the same, so that their callers are served.
+	// Symptom: the keys of a target that leaves are served by nobody. Sequence: the store is well, and the
+	// target cannot reach the registry; instances heed what it tells them. Cause: the leading instance
+	// goes by the registry alone.
 	It("has its keys given on by its word alone", func() {
 		d := startDeployment()
 		leaver := d.ownerOf("key1")
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -67,6 +67,9 @@
 	StoreAnswers bool
 	// Leaving says that the sender shuts down and takes no duties.
 	Leaving bool
+	// LeavingTargets are targets that have said in answers that they leave, to the sender or to others
+	// that report through it.
+	LeavingTargets []string
 	// Quarantine is what the receiver may not know of requests under which targets have ended.
 	// QuarantineVersion is the version of the leading instance's table that the sender knows.
 	Quarantine        quarantine.Table
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -226,9 +226,16 @@
 		}
 		r := m.Find(c.key)
 		c.mapAt = m.Version
-		if owner, known := c.snapshot.Targets[r.Owner]; r.Served() && known && !owner.Left(c.h.clock.Now()) {
+		owner, known := c.snapshot.Targets[r.Owner]
+		if r.Served() && known && !c.hasLeft(owner) {
+			if res, ok := c.awaitPause(ctx, r.Owner); !ok {
+				return "", res, false
+			}
 			return r.Owner, result{}, true
 		}
+		if r.Served() && known && c.cannotMove() {
+			return "", notRun("owner-leaves", lostRetry), false
+		}
 		if r.Lost || r.Owner == "" {
 			return "", notRun("owner-lost", lostRetry), false
 		}
@@ -267,7 +274,7 @@
 		Abroad: permit.AbroadCost(c.h.collector.Size(c.decision.Rule.Name)),
 	}
 	if target == "" {
-		ask.Exclude = c.targets
+		ask.Exclude = c.avoided()
 	}
 	p, err := c.h.permits.Acquire(ctx, ask)
 	c.waited += p.Waited
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -19,6 +19,7 @@
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/permit"
+	"lycheehall.example/lycheehall/coordination/standing"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/protocol/wire"
@@ -136,7 +137,14 @@
 	p.reports = append(p.reports, r)
 }
 
+// aheadClock is a clock that tests set forward.
+type aheadClock struct{ ahead time.Duration }
+
+func (c *aheadClock) Now() clock.Instant { return clock.System{}.Now().Add(c.ahead) }
+
 type fixture struct {
+	// said is the clock of what targets have said of themselves.
+	said    *aheadClock
 	h       *Handler
 	up      *answers
 	permits *permits
@@ -147,7 +155,7 @@
 
 func newFixture() *fixture {
 	GinkgoHelper()
-	f := &fixture{up: &answers{}, permits: &permits{}, board: view.NewBoard(clock.System{})}
+	f := &fixture{up: &answers{}, permits: &permits{}, said: &aheadClock{}, board: view.NewBoard(clock.System{})}
 	set, err := rules.Parse("rules", ruleText)
 	Expect(err).NotTo(HaveOccurred())
 	now := clock.System{}.Now()
@@ -159,7 +167,7 @@
 	f.board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, []view.Instance{{ID: "i"}})
 	f.own("k1", "", false)
 	budget := NewBudget(clock.System{}, BudgetConfig{Ratio: 0.2, Slack: 60, Window: 10 * time.Second})
-	f.h = NewHandler(Config{Names: names, MaxBody: 1 << 20}, clock.System{}, "i", f.board, f.up, f.permits, demand.NewCollector(), budget,
+	f.h = NewHandler(Config{Names: names, MaxBody: 1 << 20, Standing: standing.NewRegistry(f.said)}, clock.System{}, "i", f.board, f.up, f.permits, demand.NewCollector(), budget,
 		func(event string, fields ...any) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -14,6 +14,7 @@
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/standing"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/upstream"
@@ -41,6 +42,8 @@
 	MaxBody int64
 	// Quarantine knows the requests that are to reach no target; nil: none are known from elsewhere.
 	Quarantine *quarantine.Registry
+	// Standing is what targets have said of themselves; nil: nobody else of this process looks at it.
+	Standing *standing.Registry
 }
 
 // Handler is the HTTP handler for callers.
@@ -55,7 +58,6 @@
 	weights   *Weights
 	patience  *Patience
 	limits    *limits
-	standing  *Standing
 	log       Log
 
 	attempts atomic.Uint64
@@ -72,9 +74,12 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewRegistry(time.Now)
 	}
+	if config.Standing == nil {
+		config.Standing = standing.NewRegistry(c)
+	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
-		budget: budget, weights: NewWeights(), patience: NewPatience(), limits: newLimits(), standing: NewStanding(c), log: log, start: instance,
+		budget: budget, weights: NewWeights(), patience: NewPatience(), limits: newLimits(), log: log, start: instance,
 	}
 	h.closing, h.endWaits = context.WithCancel(context.Background())
 	h.ending, h.endWork = context.WithCancel(context.Background())
@@ -91,9 +96,6 @@
 // EndWork answers the requests that targets still work on; their outcome is unknown.
 func (h *Handler) EndWork() { h.endWork() }
 
-// Forget drops what was said long ago by targets that are gone.
-func (h *Handler) Forget(listed func(target string) bool) { h.standing.Forget(listed) }
-
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
--- a/transport/front/standing.go
+++ b/transport/front/standing.go
@@ -1,78 +1,18 @@
 package front
 
 import (
+	"context"
 	"errors"
-	"sync"
+	"slices"
 	"time"
 
-	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
 
-// Standing is what targets have told this instance of themselves. It is safe for concurrent use; its
-// lock is a leaf.
-type Standing struct {
-	clock clock.Clock
-
-	mu      sync.Mutex
-	targets map[string]standing
-}
-
-// standing is what one life of a target has told.
-type standing struct {
-	// leavingAt is when it first said that it leaves; Never: it has not.
-	leavingAt clock.Instant
-	// pausedUntil is until when it wants nothing.
-	pausedUntil clock.Instant
-	heardAt     clock.Instant
-}
-
-// NewStanding returns a Standing that has heard nothing.
-func NewStanding(c clock.Clock) *Standing {
-	return &Standing{clock: c, targets: map[string]standing{}}
-}
-
-// Heard notes what a target has said of itself. It reports whether it said for the first time that it
-// leaves.
-func (s *Standing) Heard(target string, w upstream.Word) (leaves bool) {
-	if !w.Leaving && w.Pause == 0 {
-		return false
-	}
-	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known, ok := s.targets[target]
-	if !ok {
-		known = standing{leavingAt: clock.Never, pausedUntil: clock.Never}
-	}
-	known.heardAt = now
-	if w.Pause > 0 {
-		known.pausedUntil = known.pausedUntil.Later(now.Add(w.Pause))
-	}
-	if w.Leaving && known.leavingAt == clock.Never {
-		known.leavingAt = now
-		leaves = true
-	}
-	s.targets[target] = known
-	return leaves
-}
-
-// standingFor is how long what a target has said is kept once it is not listed any more. The registry
-// loses entries of targets that live while its store is away.
-const standingFor = 10 * time.Minute
-
-// Forget drops what was said long ago by targets that are gone.
-func (s *Standing) Forget(listed func(target string) bool) {
-	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, known := range s.targets {
-		if now.Sub(known.heardAt) > standingFor && !listed(id) {
-			delete(s.targets, id)
-		}
-	}
-}
+// cannotMoveAfter is the age of what is known from which on keys do not change hands: neither the leading
+// instance nor the store answers, and while both are well it is less than 1.2 s.
+const cannotMoveAfter = 1500 * time.Millisecond
 
 // wordOf returns what a target said of itself with the outcome of a try.
 func wordOf(answer *upstream.Answer, err error) upstream.Word {
@@ -88,11 +28,60 @@
 
 // heard notes what a target said of itself.
 func (c *call) heard(t view.Target, w upstream.Word) {
-	leaves := c.h.standing.Heard(t.ID, w)
-	if leaves {
+	if c.h.config.Standing.Heard(t.ID, w.Leaving, w.Pause) {
 		c.h.log("target-leaves", "target", t.ID, "service", c.service.Name, "request", c.id, "listed_as_draining", t.Draining)
 	}
 	if w.Pause > 0 {
 		c.h.log("target-pauses", "target", t.ID, "service", c.service.Name, "request", c.id, "pause_ms", w.Pause.Milliseconds())
 	}
 }
+
+// mayGet reports whether anything may be sent to a target now. It is asked for the owner of a key, and
+// again for whoever has been found, since the request may have waited for a slot meanwhile.
+func (c *call) mayGet(t view.Target) bool {
+	return !c.hasLeft(t) && c.h.config.Standing.Pause(t.ID) == 0
+}
+
+// hasLeft reports whether a target has been about to leave for so long that nothing may be sent to it.
+// The registry tells so, and the target itself in its answers: while the store of the registry is away,
+// only the second is heard.
+func (c *call) hasLeft(t view.Target) bool {
+	return t.Left(c.h.clock.Now()) || c.h.config.Standing.Left(t.ID)
+}
+
+// awaitPause waits for the end of a short pause that the owner of a key wants. Through a longer one the
+// request is not held: its caller is told when it is over.
+func (c *call) awaitPause(ctx context.Context, owner string) (result, bool) {
+	pause := c.h.config.Standing.Pause(owner)
+	if pause > lookAgain {
+		return notRun("target-paused", pause), false
+	}
+	if pause == 0 {
+		return result{}, true
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return result{}, true
+	case <-ctx.Done():
+		return c.timedOut(), false
+	}
+}
+
+// avoided returns the targets of the service that want no new work, and those that have had the request.
+func (c *call) avoided() []string {
+	list := slices.Clone(c.targets)
+	for _, id := range c.h.config.Standing.Avoid() {
+		if t, known := c.snapshot.Targets[id]; known && t.Service == c.service.Name {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// cannotMove reports whether the keys of an owner that has left stay with it for now: only the leading
+// instance gives them on, and stores that before it does.
+func (c *call) cannotMove() bool {
+	return c.h.clock.Now().Sub(c.h.board.KnownAt()) > cannotMoveAfter
+}
--- a/transport/front/standing_test.go
+++ b/transport/front/standing_test.go
@@ -24,17 +24,8 @@
 	return fails(&upstream.NotRunError{Status: 503, Word: upstream.Word{Pause: d}})
 }
 
-// later makes what targets have said so far older.
-func (f *fixture) later(d time.Duration) {
-	s := f.h.standing
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, known := range s.targets {
-		known.leavingAt = known.leavingAt.Add(-d)
-		known.pausedUntil = known.pausedUntil.Add(-d)
-		s.targets[id] = known
-	}
-}
+// later makes time pass for what targets have said.
+func (f *fixture) later(d time.Duration) { f.said.ahead += d }
 
 // A target's word binds by every way that a request can take to it.
 var _ = Describe("a target that has said that it leaves", func() {
@@ -93,10 +84,29 @@
 		f := newFixture()
 		f.up.next = play{says(upstream.Word{Leaving: true})}
 		f.do("POST", "/k/a")
-		f.h.Forget(func(string) bool { return false })
+		f.h.config.Standing.Forget(func(string) bool { return false })
 		f.later(drainTime)
 		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
 	})
+
+	It("is told to the leading instance", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("POST", "/k/a")
+		Expect(f.h.config.Standing.Leaving(func(string) bool { return true })).To(ConsistOf("k1"))
+	})
+
+	// Its keys cannot be given on while the store is away: waiting for that is of no use.
+	It("has requests for its keys refused at once when what is known is old", func() {
+		f := newFixture()
+		f.up.next = play{says(upstream.Word{Leaving: true})}
+		f.do("POST", "/k/a")
+		f.later(drainTime)
+		time.Sleep(cannotMoveAfter)
+		begun := time.Now()
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(time.Since(begun)).To(BeNumerically("<", 100*time.Millisecond))
+	})
 })
 
 var _ = Describe("a target that wants nothing for a time", func() {
@@ -126,7 +136,7 @@
 
 	It("gets nothing that waited for a slot meanwhile", func() {
 		f := newFixture()
-		f.permits.before = func() { f.h.standing.Heard("k1", upstream.Word{Pause: 3 * time.Second}) }
+		f.permits.before = func() { f.h.config.Standing.Heard("k1", false, 3*time.Second) }
 		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
 		Expect(f.up.tries).To(BeEmpty())
 		Expect(f.permits.reports[0].Result).To(Equal(permit.Dropped))
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -18,11 +18,13 @@
 // another try. The work at the target ends with ctx, waits end with wait.
 func (c *call) try(ctx, wait context.Context, p permit.Permit) (result, bool) {
 	t, known := c.h.board.Load().Targets[p.Target]
-	if !known || t.Left(c.h.clock.Now()) {
+	if !known || !c.mayGet(t) {
 		// The permit may have been awaited for long.
 		c.h.permits.Release(c.report(p, permit.Dropped, 0))
 		c.tries++
-		c.await(wait, lookAgain)
+		if !c.keyed || !known {
+			c.await(wait, lookAgain)
+		}
 		return notRun("no-target", lostRetry), c.tries < maxTries && wait.Err() == nil
 	}
 	if res, ok := c.mayReachTargets(); !ok {
@@ -126,6 +128,10 @@
 	if errors.As(err, &refusedBy) && refusedBy.Status == http.StatusMisdirectedRequest {
 		c.await(ctx, lookAgain)
 	}
+	if refusedBy != nil && c.keyed && refusedBy.Word.Pause > lookAgain {
+		// Nobody else has the key.
+		return notRun("target-paused", refusedBy.Word.Pause), false
+	}
 	if ctx.Err() != nil {
 		return c.timedOut(), false
 	}
