Let operators see and release the requests that reach no target

Now each instance lists what is quarantined, and lets one of them in again, at all instances: the release is told like an answer to each of its callers, so that whatever was on its way cannot undo it. The test of the request that crashes targets counts the requests beside it as well.

--- a/cmd/lycheehall/main.go
+++ b/cmd/lycheehall/main.go
@@ -60,6 +60,8 @@
 	host    string
 	request string
 	logs    []string
+
+	fingerprint string
 }
 
 // command is a subcommand with its action.
@@ -129,6 +131,9 @@
 	declareChange(rollback, o)
 	add("status", "Show instances, targets and versions in force, and how old they are.", runStatus)
 	declareExplain(add("explain", "Tell what would happen to a request.", runExplain), o)
+	add("quarantine", "List the requests that reach no target, since targets have ended under them.", runQuarantine)
+	release := add("release", "Let a quarantined request in again.", runRelease)
+	release.AddPositionalValue(&o.fingerprint, "fingerprint", 1, true, "Fingerprint of the request.")
 	add("timeline", "Print the events of all instances in causal order.", runTimeline)
 	trace := add("trace", "Tell how a request was decided, and what its instance learned shortly before.", runTrace)
 	trace.AddPositionalValue(&o.request, "request", 1, true, "Id of the request.")
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +17,15 @@
 
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// ParseFingerprint reads what String writes.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("quarantine: %q is no fingerprint: %w", text, err)
+	}
+	return Fingerprint(f), nil
+}
+
 // Identity says who asks for what.
 type Identity struct {
 	Content Fingerprint
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -128,6 +128,27 @@
 		Expect(r.Crashed(by(1), "t2")).To(BeFalse())
 	})
 
+	It("is told to operators, who may end it", func() {
+		r.Crashed(by(1), "t1")
+		Expect(r.List()).To(BeEmpty())
+		Expect(r.Release(7)).To(BeFalse())
+		r.Crashed(by(1), "t2")
+		r.Crashed(by(2), "t3")
+		list := r.List()
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].Content).To(Equal(quarantine.Fingerprint(7)))
+		Expect(list[0].Targets).To(Equal(3))
+		Expect(list[0].Callers).To(Equal(2))
+		Expect(quarantine.ParseFingerprint(list[0].Content.String())).To(Equal(quarantine.Fingerprint(7)))
+		Expect(r.Release(7)).To(BeTrue())
+		Expect(r.List()).To(BeEmpty())
+		for caller := range uint64(4) {
+			Expect(quarantined(r, by(caller))).To(BeFalse())
+		}
+		r.Crashed(by(1), "t4")
+		Expect(r.Crashed(by(1), "t5")).To(BeTrue())
+	})
+
 	It("forgets in the end", func() {
 		r.Crashed(by(1), "t1")
 		c.pass(11 * time.Minute)
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +101,46 @@
 	}
 }
 
+// Notice describes a request that is quarantined.
+type Notice struct {
+	Content Fingerprint
+	// Targets is the number of targets that ended, as far as they are kept, Callers that of callers.
+	Targets, Callers int
+	LastCrash, Until time.Time
+}
+
+// List returns the requests that are quarantined, for one caller or for all, sorted by fingerprint.
+func (r *Registry) List() []Notice {
+	now := r.now()
+	var list []Notice
+	for f, e := range *r.table.Load() {
+		if e.quarantinedForAny() && !e.forgotten(now) {
+			list = append(list, Notice{
+				Content: f, Targets: distinct(e.Crashes, Crash.target), Callers: distinct(e.Crashes, Crash.caller),
+				LastCrash: time.UnixMilli(e.crashedAt()), Until: e.until(),
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b Notice) int { return cmp.Compare(a.Content, b.Content) })
+	return list
+}
+
+// Release ends the quarantine of a request for all callers, as if it had been answered to each. It
+// reports whether there was one.
+func (r *Registry) Release(f Fingerprint) bool {
+	e, known := (*r.table.Load())[f]
+	if !known || !e.quarantinedForAny() {
+		return false
+	}
+	at := max(r.now().UnixMilli(), e.crashedAt())
+	var answers []Answer
+	for _, c := range e.Crashes {
+		answers = append(answers, Answer{Caller: c.Caller, At: at})
+	}
+	r.Merge(Table{f: {Answers: answers}})
+	return true
+}
+
 // replace puts a table in the place of the present one, and reports whether they differ. The caller
 // holds the lock.
 func (r *Registry) replace(next Table) bool {
--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	"lycheehall.example/lycheehall/examples"
 	"lycheehall.example/lycheehall/platform"
 	"lycheehall.example/lycheehall/state/rulestore"
+	"lycheehall.example/lycheehall/transport/admin"
 )
 
 const (
@@ -132,6 +134,42 @@
 	return f.ended.Load() - before
 }
 
+// beside are requests of other callers that run while others come to crash targets.
+type beside struct {
+	stop         chan struct{}
+	running      sync.WaitGroup
+	sent, failed atomic.Int64
+}
+
+// startBeside makes requests through all instances until finish is called.
+func (f *fragile) startBeside() *beside {
+	b := &beside{stop: make(chan struct{})}
+	for n := range callerCount {
+		b.running.Go(func() {
+			for i := n; ; i++ {
+				select {
+				case <-b.stop:
+					return
+				default:
+				}
+				b.sent.Add(1)
+				if f.dispatch(i%len(f.instances), fmt.Sprint("/dispatch/sound-", n, "-", i)) != http.StatusOK {
+					b.failed.Add(1)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	return b
+}
+
+// finish returns how many requests were made, and how many of them were not answered well.
+func (b *beside) finish() (sent, failed int64) {
+	close(b.stop)
+	b.running.Wait()
+	return b.sent.Load(), b.failed.Load()
+}
+
 var _ = Describe("a request that crashes each target that runs it", func() {
 	// Symptom: one target after the other ends, for as long as the request comes again; requests
 	// beside it fail. Sequence: it comes four times, through different instances, and goes on to
@@ -143,10 +181,32 @@
 		f := startFragile()
 		f.crash(4)
 		time.Sleep(learnTime)
+		beside := f.startBeside()
 		Expect(f.crash(9)).To(BeNumerically("<=", mostRetries))
-		for i := range f.instances {
-			Expect(f.dispatch(i, "/dispatch/sound")).To(Equal(200))
-		}
+		sent, failed := beside.finish()
+		Expect(sent).To(BeNumerically(">", enoughAnswers))
+		Expect(failed).To(BeZero(), "of %d requests beside it", sent)
+	})
+
+	// An operator whose targets are mended need not wait for a day.
+	It("is let in again through all instances when an operator says so", func() {
+		f := startFragile()
+		f.crash(3)
+		time.Sleep(learnTime)
+		Expect(f.crash(3)).To(BeZero())
+		var list []admin.Quarantined
+		_, text := ask(f.instances[0].admin, "GET", "/v1/quarantine", "", testSecret)
+		Expect(json.Unmarshal([]byte(text), &list)).To(Succeed())
+		Expect(list).To(HaveLen(1))
+		release := `{"fingerprint":"` + list[0].Fingerprint + `"}`
+		status, _ := ask(f.instances[0].admin, "POST", "/v1/quarantine/release", release, testSecret)
+		Expect(status).To(Equal(200))
+		status, _ = ask(f.instances[0].admin, "POST", "/v1/quarantine/release", release, testSecret)
+		Expect(status).To(Equal(404))
+		status, _ = ask(f.instances[0].admin, "POST", "/v1/quarantine/release", `{"fingerprint":"no"}`, testSecret)
+		Expect(status).To(Equal(400))
+		time.Sleep(time.Second)
+		Expect(f.dispatch(2, crashPath)).To(Equal(http.StatusBadGateway))
 	})
 
 	// Sequence: the same, and then all instances are killed at once and started again. Cause: what was
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -71,6 +71,7 @@
 	broker      *broker
 	pool        *upstream.Pool
 	standing    *standing.Registry
+	quarantine  *quarantine.Registry
 	handler     *front.Handler
 	coordinator *lead.Coordinator
 	peerClient  *peers.Client
@@ -148,17 +149,17 @@
 	i.broker = newBroker(i.self, i.clock, i.board, i.peerClient, i.log.Event)
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
-	crashes := quarantine.NewRegistry(time.Now)
+	i.quarantine = quarantine.NewRegistry(time.Now)
 	i.standing = standing.NewRegistry(i.clock)
 	i.budget = front.NewBudget(i.clock, front.BudgetConfig{
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
 	i.handler = front.NewHandler(
-		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: crashes, Standing: i.standing},
+		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, Standing: i.standing},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
-		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balance, Quarantine: crashes, Standing: i.standing},
+		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balance, Quarantine: i.quarantine, Standing: i.standing},
 		i.clock, i.platform.Store, i.board, &stampedPeers{i.peerClient, i.log}, orderClient, collector, i.log.Event)
 	i.callers = &http.Server{Handler: i.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes}
 	ready := http.NewServeMux()
--- a/instance/operate.go
+++ b/instance/operate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/state/rulestore"
@@ -261,6 +262,16 @@
 	return version, err
 }
 
+// Quarantine implements admin.Backend.
+func (o operators) Quarantine() []quarantine.Notice { return o.quarantine.List() }
+
+// Release implements admin.Backend.
+func (o operators) Release(f quarantine.Fingerprint) bool {
+	released := o.quarantine.Release(f)
+	o.log.Event("quarantine-released", "fingerprint", f.String(), "known", released)
+	return released
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/state/rulestore"
@@ -35,6 +37,10 @@
 	Rules(ctx context.Context) (rulestore.Record, error)
 	History(ctx context.Context) ([]rulestore.Record, error)
 	Apply(ctx context.Context, base uint64, change rulestore.Record) (uint64, error)
+	// Quarantine lists the requests that are to reach no target; Release lets one in again, and reports
+	// whether it was there.
+	Quarantine() []quarantine.Notice
+	Release(f quarantine.Fingerprint) bool
 }
 
 // Status is what an instance believes, and how old that is.
@@ -120,6 +126,23 @@
 	Code string `json:"code"`
 }
 
+// Quarantined is a request that is to reach no target.
+type Quarantined struct {
+	// Fingerprint names it in the log, too.
+	Fingerprint string `json:"fingerprint"`
+	// Targets and Callers are how many targets ended under it, for how many callers.
+	Targets int `json:"targets"`
+	Callers int `json:"callers"`
+	// LastCrash is when the last of them ended, Until when the request is let in again.
+	LastCrash time.Time `json:"last_crash"`
+	Until     time.Time `json:"until"`
+}
+
+// ReleaseRequest asks for a request to be let in again.
+type ReleaseRequest struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
 // TimelineReply answers a question for the time line.
 type TimelineReply struct {
 	Events  []timeline.Event `json:"events"`
@@ -141,9 +164,11 @@
 	operator.HandleFunc("POST /v1/explain", h.explain)
 	operator.HandleFunc("GET /v1/timeline", h.timeline)
 	operator.HandleFunc("GET /v1/rules", h.rules)
+	operator.HandleFunc("GET /v1/quarantine", h.quarantine)
 	operator.HandleFunc("GET /v1/rules/history", h.history)
 	if token != "" {
 		operator.HandleFunc("POST /v1/rules", h.apply)
+		operator.HandleFunc("POST /v1/quarantine/release", h.release)
 	}
 	mux.Handle("/v1/", authorised(operator, token))
 	return mux
@@ -250,6 +275,31 @@
 	writeJSON(w, http.StatusOK, Result{Version: version, Code: "accepted"})
 }
 
+func (h *handler) quarantine(w http.ResponseWriter, _ *http.Request) {
+	list := []Quarantined{}
+	for _, n := range h.b.Quarantine() {
+		list = append(list, Quarantined{Fingerprint: n.Content.String(), Targets: n.Targets, Callers: n.Callers, LastCrash: n.LastCrash, Until: n.Until})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (h *handler) release(w http.ResponseWriter, r *http.Request) {
+	var req ReleaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	f, err := quarantine.ParseFingerprint(req.Fingerprint)
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, Result{Code: "invalid", Error: err.Error()})
+		return
+	}
+	if !h.b.Release(f) {
+		writeJSON(w, http.StatusNotFound, Result{Code: "invalid", Error: "no such request is quarantined as far as this instance knows"})
+		return
+	}
+	writeJSON(w, http.StatusOK, Result{Code: "accepted"})
+}
+
 // writeError maps the errors of changes to HTTP statuses and the codes in Result.
 func writeError(w http.ResponseWriter, version uint64, err error) {
 	status, code := http.StatusServiceUnavailable, "unavailable"
