--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -177,14 +177,14 @@
 			}, t.stored.maps[s.Name], now)
 			t.managers[s.Name] = m
 		}
-		m.SetTargets(now, withWord(snapshot.ByService[s.Name], leaving))
+		m.SetTargets(now, markLeaving(snapshot.ByService[s.Name], leaving))
 	}
 }
 
-// withWord returns a list of targets in which those that have said themselves that they leave are
-// draining. A target that does not reach the registry would keep its keys, which its callers' instances
-// do not send to it any more.
-func withWord(list []view.Target, leaving []string) []view.Target {
+// markLeaving returns a list of targets in which those that have said themselves that they leave are
+// draining. Those that do not reach the registry would keep their keys, though requests for these are not
+// sent to them any more.
+func markLeaving(list []view.Target, leaving []string) []view.Target {
 	if len(leaving) == 0 {
 		return list
 	}
