Bound what is stored of quarantined requests, and take the time of targets that leave from the settings

Found in reading the change. With some 170 requests quarantined, four crashes each, the row would be above what the store takes; it is written along with the lease, which would not have been renewed any more. Answers to many callers pushed out the one of a caller whose crashes are known, so that these counted again. The time after which a target that leaves gets nothing was fixed to 1.7 s, whatever it says of itself elsewhere.

Now the row holds the newest 100; callers without crashes share one answer; the time is a setting, from which 0.3 s are taken.

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -139,7 +139,7 @@
 		config.Quarantine = quarantine.NewRegistry(time.Now)
 	}
 	if config.Standing == nil {
-		config.Standing = standing.NewRegistry(c)
+		config.Standing = standing.NewRegistry(c, 0)
 	}
 	return &Coordinator{
 		config: config, clock: c, store: s, board: board, peers: peers, orders: orders,
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -145,6 +146,7 @@
 		for caller := range uint64(4) {
 			Expect(quarantined(r, by(caller))).To(BeFalse())
 		}
+		c.pass(time.Second)
 		r.Crashed(by(1), "t4")
 		Expect(r.Crashed(by(1), "t5")).To(BeTrue())
 	})
@@ -173,6 +175,31 @@
 		Expect(len(r.Unreported())).To(BeNumerically("<=", 256))
 	})
 
+	It("does not count again what was answered, however many others are answered too", func() {
+		r.Crashed(by(1), "t1")
+		r.Answered(by(1))
+		for caller := uint64(10); caller < 60; caller++ {
+			c.pass(time.Second)
+			r.Crashed(by(caller), "t2")
+			r.Answered(by(caller))
+			r.Answered(by(caller + 100))
+		}
+		Expect(r.Crashed(by(1), "t3")).To(BeFalse())
+	})
+
+	// Symptom: the lease is lost. Sequence: so much is quarantined that the store does not take the row,
+	// which is written along with the lease.
+	It("fits the store whatever is quarantined", func() {
+		for n := range uint64(1000) {
+			for target := range uint64(4) {
+				r.Crashed(quarantine.Identity{Content: quarantine.Fingerprint(1<<63 + n), Caller: 1<<63 + n}, fmt.Sprint("t", n, "-", target))
+			}
+		}
+		text, err := r.ToStore()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(text)).To(And(BeNumerically(">", 10_000), BeNumerically("<", 60_000)))
+	})
+
 	It("is what it was after all is lost but the row in the store", func() {
 		r.Crashed(by(1), "t1")
 		text, err := r.ToStore()
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -71,12 +71,19 @@
 // Answered notes that a target has answered a request.
 func (r *Registry) Answered(id Identity) {
 	e, known := (*r.table.Load())[id.Content]
-	if !known || e.answeredAt(func(a Answer) bool { return a.Caller == id.Caller }) >= e.crashedAt() {
+	if !known {
+		return
+	}
+	caller := id.Caller
+	if !slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Caller == caller }) {
+		caller = others
+	}
+	if e.answeredAt(func(a Answer) bool { return a.Caller == caller }) >= e.crashedAt() {
 		return
 	}
 	// Clocks differ between instances: the answer came after whatever is known.
 	at := max(r.now().UnixMilli(), e.crashedAt())
-	r.Merge(Table{id.Content: {Answers: []Answer{{Caller: id.Caller, At: at}}}})
+	r.Merge(Table{id.Content: {Answers: []Answer{{Caller: caller, At: at}}}})
 }
 
 // Merge takes over what this instance has seen, or another one has reported to it.
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -21,8 +21,17 @@
 	// to all instances whenever something is added: 256 with a crash each are some 10 KB.
 	mostEntries = 256
 	mostCrashes = 4
+	// mostAnswers bounds the answers that are known of each: one of each caller whose crashes are, and
+	// one for all other callers, with some to spare for those that are learnt in another order.
+	mostAnswers = 16
+	// mostStored bounds the row in the store to 48 KB; it takes 64. The row goes with the lease, which
+	// would not be renewed if the store refused it.
+	mostStored = 100
 )
 
+// others stands for all callers whose crashes are not known.
+const others = 0
+
 // Crash is the end of a target while it ran a request.
 type Crash struct {
 	// Target stands for the life of the target that ended, Caller for who sent the request.
@@ -123,23 +132,23 @@
 	return Entry{
 		Crashes: union(e.Crashes, f.Crashes, func(a, b Crash) int {
 			return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Caller, b.Caller))
-		}, func(c Crash) int64 { return c.At }),
+		}, func(c Crash) int64 { return c.At }, mostCrashes),
 		Answers: union(e.Answers, f.Answers, func(a, b Answer) int { return cmp.Compare(a.Caller, b.Caller) },
-			func(a Answer) int64 { return a.At }),
+			func(a Answer) int64 { return a.At }, mostAnswers),
 	}
 }
 
 // union joins two lists, sorted by what tells their elements apart. Of two that are alike it keeps the
-// later one, and of all the latest mostCrashes.
-func union[T any](a, b []T, compare func(T, T) int, at func(T) int64) []T {
+// later one, and of all the latest, at most so many.
+func union[T any](a, b []T, compare func(T, T) int, at func(T) int64, most int) []T {
 	list := slices.Concat(a, b)
 	slices.SortFunc(list, func(x, y T) int { return cmp.Or(compare(x, y), cmp.Compare(at(y), at(x))) })
 	list = slices.CompactFunc(list, func(x, y T) bool { return compare(x, y) == 0 })
-	if len(list) <= mostCrashes {
+	if len(list) <= most {
 		return list
 	}
 	slices.SortStableFunc(list, func(x, y T) int { return cmp.Compare(at(y), at(x)) })
-	list = list[:mostCrashes]
+	list = list[:most]
 	slices.SortFunc(list, compare)
 	return list
 }
@@ -158,21 +167,29 @@
 			}
 		}
 	}
-	out.bound()
+	out.bound(mostEntries)
 	return out
 }
 
-// bound drops what is above mostEntries: of what is not quarantined first, and the oldest first.
-func (t Table) bound() {
-	if len(t) <= mostEntries {
+// bound drops what is above a number of entries: of what is not quarantined first, and the oldest first.
+func (t Table) bound(most int) {
+	if len(t) <= most {
 		return
 	}
-	order := slices.SortedFunc(maps.Keys(t), func(f, g Fingerprint) int {
-		a, b := t[f], t[g]
-		return cmp.Or(compareBool(a.quarantinedForAny(), b.quarantinedForAny()), cmp.Compare(a.lastAt(), b.lastAt()), cmp.Compare(f, g))
+	type rank struct {
+		fingerprint Fingerprint
+		quarantined bool
+		lastAt      int64
+	}
+	order := make([]rank, 0, len(t))
+	for f, e := range t {
+		order = append(order, rank{f, e.quarantinedForAny(), e.lastAt()})
+	}
+	slices.SortFunc(order, func(a, b rank) int {
+		return cmp.Or(compareBool(a.quarantined, b.quarantined), cmp.Compare(a.lastAt, b.lastAt), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
-	for _, f := range order[:len(order)-mostEntries] {
-		delete(t, f)
+	for _, r := range order[:len(order)-most] {
+		delete(t, r.fingerprint)
 	}
 }
 
@@ -204,6 +221,7 @@
 func (t Table) encode() ([]byte, error) {
 	kept := maps.Clone(t)
 	maps.DeleteFunc(kept, func(_ Fingerprint, e Entry) bool { return !e.quarantinedForAny() })
+	kept.bound(mostStored)
 	text, err := json.Marshal(kept)
 	if err != nil {
 		return nil, fmt.Errorf("quarantine: encode: %w", err)
--- a/coordination/standing/standing.go
+++ b/coordination/standing/standing.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// LeaveAfter is how long after a target's first word that it leaves it is still sent to. It must get
-	// nothing 2 s after an instance has passed that word on.
-	LeaveAfter = 1700 * time.Millisecond
+	// leaveEarly is how long before the time that a target gives itself it is not sent to any more: a
+	// request is on its way for some milliseconds, and longer from a busy instance.
+	leaveEarly = 300 * time.Millisecond
 	// keepFor is how long what a target has said is kept once it is not listed any more. The registry
 	// loses entries of targets that live while its store is away.
 	keepFor = 10 * time.Minute
@@ -33,6 +33,8 @@
 // Registry is what targets have said to one instance. It is safe for concurrent use.
 type Registry struct {
 	clock clock.Clock
+	// drain is how long a target takes requests after its first word that it leaves.
+	drain time.Duration
 
 	mu sync.Mutex
 	// said is what was said to this instance.
@@ -50,9 +52,10 @@
 	heardAt     clock.Instant
 }
 
-// NewRegistry returns a registry to which nothing was said.
-func NewRegistry(c clock.Clock) *Registry {
-	return &Registry{clock: c, said: map[string]said{}, reported: map[string]clock.Instant{}}
+// NewRegistry returns a registry to which nothing was said. Drain is how long a target takes requests
+// after its first word that it leaves.
+func NewRegistry(c clock.Clock, drain time.Duration) *Registry {
+	return &Registry{clock: c, drain: drain, said: map[string]said{}, reported: map[string]clock.Instant{}}
 }
 
 // Heard notes what a target has said with an answer: that it leaves, and for how long it wants nothing,
@@ -85,7 +88,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, known := r.said[target]
-	return known && s.leavingAt != clock.Never && r.clock.Now().Sub(s.leavingAt) > LeaveAfter
+	return known && s.leavingAt != clock.Never && r.clock.Now().Sub(s.leavingAt) >= r.drain-leaveEarly
 }
 
 // Pause returns for how much longer a target wants nothing.
--- a/coordination/standing/standing_test.go
+++ b/coordination/standing/standing_test.go
@@ -23,6 +23,9 @@
 
 func (c *handClock) pass(d time.Duration) { c.now = c.now.Add(d) }
 
+// drain is how long a target takes requests after it has said that it leaves.
+const drain = 2500 * time.Millisecond
+
 var _ = Describe("what targets say of themselves", func() {
 	var (
 		c *handClock
@@ -30,26 +33,32 @@
 	)
 	BeforeEach(func() {
 		c = &handClock{now: clock.Instant(time.Hour)}
-		r = standing.NewRegistry(c)
+		r = standing.NewRegistry(c, drain)
 	})
 	all := func(string) bool { return true }
 	none := func(string) bool { return false }
 
 	It("counts from the first word", func() {
 		Expect(r.Heard("t", true, 0)).To(BeTrue())
-		c.pass(standing.LeaveAfter - time.Millisecond)
+		c.pass(time.Second)
 		Expect(r.Heard("t", true, 0)).To(BeFalse())
 		Expect(r.Left("t")).To(BeFalse())
-		c.pass(2 * time.Millisecond)
+		c.pass(drain - time.Second)
 		Expect(r.Left("t")).To(BeTrue())
 		Expect(r.Left("other")).To(BeFalse())
 	})
 
+	It("is sent nothing from the first word on where it takes nothing", func() {
+		r = standing.NewRegistry(c, 0)
+		r.Heard("t", true, 0)
+		Expect(r.Left("t")).To(BeTrue())
+	})
+
 	It("does not take back a word that an answer lacks", func() {
 		r.Heard("t", true, 0)
 		r.Heard("t", false, 0)
 		r.Heard("t", false, time.Second)
-		c.pass(standing.LeaveAfter + time.Millisecond)
+		c.pass(drain)
 		Expect(r.Left("t")).To(BeTrue())
 	})
 
@@ -79,7 +88,7 @@
 
 	It("binds only who was told; others are told who leaves", func() {
 		r.Report([]string{"t"})
-		c.pass(standing.LeaveAfter + time.Millisecond)
+		c.pass(drain)
 		Expect(r.Left("t")).To(BeFalse())
 		Expect(r.Avoid()).To(BeEmpty())
 		Expect(r.Leaving(all)).To(ConsistOf("t"))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -150,7 +150,7 @@
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewRegistry(time.Now)
-	i.standing = standing.NewRegistry(i.clock)
+	i.standing = standing.NewRegistry(i.clock, time.Duration(i.settings.Drain))
 	i.budget = front.NewBudget(i.clock, front.BudgetConfig{
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,6 +48,8 @@
 	Grace Duration `toml:"grace" comment:"Time from SIGTERM until the platform ends the process."`
 	// HoldMax is the longest hold of a grant that targets accept.
 	HoldMax Duration `toml:"hold_max" comment:"Longest hold of a grant of keys that targets accept."`
+	// Drain is how long a target goes on to take requests after it has said that it leaves.
+	Drain Duration `toml:"drain" comment:"Time for which a target takes requests after it has said that it leaves."`
 	// MaxBody is the largest body accepted, in bytes.
 	MaxBody int64 `toml:"max_body" comment:"Largest request body accepted, in bytes."`
 	// Rules says who keeps the rules: "platform", or "lycheehall" itself in the store.
@@ -80,7 +82,7 @@
 		Listen: "127.0.0.1:8080", Readiness: "127.0.0.1:8083", Peer: "127.0.0.1:8081", Admin: "127.0.0.1:8082",
 		Platform: "127.0.0.1:8090",
 		Seeds:    []string{},
-		Grace:    Duration(6 * time.Second), HoldMax: Duration(10 * time.Second),
+		Grace:    Duration(6 * time.Second), HoldMax: Duration(10 * time.Second), Drain: Duration(2 * time.Second),
 		MaxBody: 64 << 20,
 		Rules:   RulesOwn,
 		Retries: Retries{Ratio: 0.2, Slack: 60, Window: Duration(10 * time.Second)},
@@ -160,6 +162,9 @@
 	if time.Duration(s.HoldMax) < time.Second {
 		bad("hold_max", "is %v; write at least 1s", time.Duration(s.HoldMax))
 	}
+	if time.Duration(s.Drain) < 0 {
+		bad("drain", "is %v; write at least 0s", time.Duration(s.Drain))
+	}
 	if s.MaxBody < 1 {
 		bad("max_body", "is %d; write a number of bytes above 0", s.MaxBody)
 	}
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -167,7 +167,7 @@
 	f.board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, []view.Instance{{ID: "i"}})
 	f.own("k1", "", false)
 	budget := NewBudget(clock.System{}, BudgetConfig{Ratio: 0.2, Slack: 60, Window: 10 * time.Second})
-	f.h = NewHandler(Config{Names: names, MaxBody: 1 << 20, Standing: standing.NewRegistry(f.said)}, clock.System{}, "i", f.board, f.up, f.permits, demand.NewCollector(), budget,
+	f.h = NewHandler(Config{Names: names, MaxBody: 1 << 20, Standing: standing.NewRegistry(f.said, 2*time.Second)}, clock.System{}, "i", f.board, f.up, f.permits, demand.NewCollector(), budget,
 		func(event string, fields ...any) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -75,7 +75,7 @@
 		config.Quarantine = quarantine.NewRegistry(time.Now)
 	}
 	if config.Standing == nil {
-		config.Standing = standing.NewRegistry(c)
+		config.Standing = standing.NewRegistry(c, 0)
 	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
