Have targets of the soak say in their answers that they leave, and check who goes on to send to them

Now one target after the other says so in its answers only, beside the other faults, and is replaced a while later; targets that are told to end say so too. A check compares, for each instance and life of a target, the first such answer that a caller got with what was sent later than 2 s after it and reached that target; an instance that was interrupted since is excused.

--- a/cmd/lycheehall-standin/main.go
+++ b/cmd/lycheehall-standin/main.go
@@ -27,7 +27,7 @@
 const heartbeat = 500 * time.Millisecond
 
 // drainFor is how long a target serves on after it has said that it leaves.
-const drainFor = 3 * time.Second
+const drainFor = 5 * time.Second
 
 type options struct {
 	listen     string
@@ -130,6 +130,7 @@
 		case <-ticker.C:
 		case <-signals:
 			draining = true
+			target.SetLeaving()
 			stopAt = time.Now().Add(drainFor)
 		}
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -33,6 +33,11 @@
 	Own bool
 	// Twice says that the request may run twice.
 	Twice bool
+	// Instance is the address that it was sent to, Sent when, and Heard when the answer was there.
+	Instance    string
+	Sent, Heard time.Time
+	// Leaving says that the target said with its answer that it leaves.
+	Leaving bool
 }
 
 // Callers make requests all the time and remember what they are told.
@@ -104,11 +109,13 @@
 		req.ContentLength = int64(len(id))
 		req.GetBody = nil
 	}
-	return conclude(c.client, req, id, !booking)
+	t := conclude(c.client, req, id, !booking)
+	t.Instance = address
+	return t
 }
 
 func conclude(client *http.Client, req *http.Request, id string, twice bool) Told {
-	t := Told{Outcome: Unknown, Twice: twice}
+	t := Told{Outcome: Unknown, Twice: twice, Sent: time.Now()}
 	resp, err := client.Do(req)
 	if err != nil {
 		return t
@@ -118,6 +125,8 @@
 	if err != nil {
 		return t
 	}
+	t.Heard = time.Now()
+	t.Leaving = resp.Header.Get(platform.Headers().Leaving) != ""
 	t.Status = resp.StatusCode
 	switch signature := resp.Header.Get(platform.Headers().Signature); {
 	case signature != "":
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -121,6 +121,8 @@
 	toStore   []*Proxy
 	targets   []*process
 	toTargets []*Proxy
+	// targetsAt are the addresses at which the targets themselves listen.
+	targetsAt []string
 }
 
 // Size is how many processes of each kind a Fleet has.
@@ -224,6 +226,7 @@
 	}
 	f.targets = append(f.targets, p)
 	f.toTargets = append(f.toTargets, proxy)
+	f.targetsAt = append(f.targetsAt, address)
 	return nil
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,8 @@
 	// pending are the ends of faults.
 	pending sync.WaitGroup
 	faults  int
+	// interrupted are the faults of processes.
+	interrupted interruptions
 }
 
 // Run plays one seed.
@@ -75,8 +77,10 @@
 		s.callers.Finish()
 		return nil, err
 	}
+	leaving := s.startLeaving()
 	s.inject()
 	s.pending.Wait()
+	leaving()
 	result := &Result{Faults: s.faults, Wrong: changes.Stop()}
 	for _, err := range []error{s.settle("recovery"), changes.settled()} {
 		if err != nil {
@@ -90,6 +94,7 @@
 		return nil, err
 	}
 	result.Wrong = append(result.Wrong, Check(told, runs)...)
+	result.Wrong = append(result.Wrong, checkLeaving(told, runs, s.interrupted.instances(fleet))...)
 	return result, nil
 }
 
@@ -167,16 +172,19 @@
 		if err := p.start(); err != nil {
 			s.Progress("%v", err)
 		}
+		s.interrupted.note(p)
 	})
 }
 
 func (s *soak) kill(p *process) string {
+	s.interrupted.note(p)
 	p.signal(syscall.SIGKILL)
 	s.restart(p, stopFor)
 	return "kill " + p.name
 }
 
 func (s *soak) terminate(p *process) string {
+	s.interrupted.note(p)
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGTERM)
 	s.restart(p, stopFor)
@@ -184,8 +192,12 @@
 }
 
 func (s *soak) pause(p *process, most time.Duration) string {
+	s.interrupted.note(p)
 	p.signal(syscall.SIGSTOP)
-	s.after(s.upTo(most), func() { p.signal(syscall.SIGCONT) })
+	s.after(s.upTo(most), func() {
+		p.signal(syscall.SIGCONT)
+		s.interrupted.note(p)
+	})
 	return "pause " + p.name
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -126,6 +126,32 @@
 	)
 })
 
+var _ = Describe("the check of targets that leave", func() {
+	start := time.Unix(1000, 0)
+	// passed is a request whose answer says that its target leaves; later another one, some time after.
+	passed := Told{Outcome: Answered, Instance: "i1", Sent: start, Heard: start.Add(10 * time.Millisecond), Leaving: true}
+	later := func(instance string, d time.Duration) Told {
+		return Told{Outcome: Unknown, Instance: instance, Sent: passed.Heard.Add(d)}
+	}
+	runs := []standin.Record{{Request: "a", Target: "t started 1"}, {Request: "b", Target: "t started 1"}}
+
+	DescribeTable("looks at who was told, and when", func(second Told, interrupted map[string][]time.Time, wrong int) {
+		Expect(checkLeaving(map[string]Told{"a": passed, "b": second}, runs, interrupted)).To(HaveLen(wrong))
+	},
+		Entry("a request in time", later("i1", drainTime), nil, 0),
+		Entry("a late one", later("i1", drainTime+time.Millisecond), nil, 1),
+		Entry("through another instance", later("i2", time.Hour), nil, 0),
+		Entry("after the instance was interrupted", later("i1", 3*time.Second), map[string][]time.Time{"i1": {start.Add(time.Second)}}, 0),
+		Entry("after another one was", later("i1", 3*time.Second), map[string][]time.Time{"i2": {start.Add(time.Second)}}, 1),
+		Entry("after it was interrupted before", later("i1", 3*time.Second), map[string][]time.Time{"i1": {start}}, 1),
+	)
+
+	It("looks at the life of a target", func() {
+		again := []standin.Record{runs[0], {Request: "b", Target: "t started 2"}}
+		Expect(checkLeaving(map[string]Told{"a": passed, "b": later("i1", time.Hour)}, again, nil)).To(BeEmpty())
+	})
+})
+
 // echo answers what it gets.
 func echo() string {
 	GinkgoHelper()
