Divide the long test files of the request path and of processes by concern

Nothing is changed in a test: those of budget, weights and patience stand by themselves now, and so do the processes that the process tests start.

--- /dev/null
+++ b/instance/child_test.go
@@ -0,0 +1,186 @@
+package instance_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/instance"
+	"lycheehall.example/lycheehall/platform"
+	"lycheehall.example/lycheehall/platform/standin"
+	"lycheehall.example/lycheehall/settings"
+	"lycheehall.example/lycheehall/transport/admin"
+)
+
+// childVariable makes the test program run as one process of a deployment instead.
+const childVariable = "LYCHEEHALL_TEST_CHILD"
+
+const testSecret = "secret-of-the-process-tests"
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(childVariable); role != "" {
+		runChild(role, os.Args[1:])
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestInstance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Instance")
+}
+
+// runChild runs a platform, a target or an instance. It prints its address first.
+func runChild(role string, args []string) {
+	switch role {
+	case "platform":
+		childPlatform()
+	case "target":
+		childTarget(standin.NewTarget(args[0], "bookings", true), args[1])
+	case "fragile target":
+		target := standin.NewTarget(args[0], "dispatch", false)
+		target.CrashOn = crashPath
+		target.Crash = func() { os.Exit(crashCode) }
+		childTarget(target, args[1])
+	case "instance":
+		childInstance(args[0], args[1])
+	}
+}
+
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// lapse is how long an entry of the registry outlives its target.
+const lapse = 600 * time.Millisecond
+
+func childPlatform() {
+	l := listen()
+	store := standin.NewStore()
+	fmt.Println(l.Addr())
+	panic(http.Serve(l, standin.NewRegistry(store, platform.TargetTable, lapse).Handler()))
+}
+
+func childTarget(target *standin.Target, platformAddress string) {
+	l := listen()
+	target.Slots = 50
+	target.Work = 2 * time.Millisecond
+	go func() { panic(target.Serve(l)) }()
+	text, err := json.Marshal(target.Entry(l.Addr().String(), "dc1", false))
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(l.Addr())
+	for {
+		resp, err := http.Post("http://"+platformAddress+standin.RegisterPath+target.ID, "application/json", bytes.NewReader(text))
+		if err == nil {
+			resp.Body.Close()
+		}
+		time.Sleep(lapse / 3)
+	}
+}
+
+func childInstance(name, platformAddress string) {
+	s := settings.Default()
+	s.Name, s.DataCentre, s.Platform = name, "dc-"+name, platformAddress
+	s.Listen, s.Peer, s.Admin, s.Readiness = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.OperatorToken, s.Secret = testSecret, testSecret
+	i, err := instance.New(s, platform.NewWithOwnRules(platformAddress), io.Discard)
+	if err != nil {
+		panic(err)
+	}
+	i.Start()
+	callers, operators := i.Addresses()
+	fmt.Println(callers, operators)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	<-signals
+	i.Stop(context.Background())
+}
+
+// child is a process of the deployment under test.
+type child struct {
+	cmd     *exec.Cmd
+	address string
+	admin   string
+}
+
+func childCommand(role string, args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), childVariable+"="+role)
+	cmd.Stderr = GinkgoWriter
+	return cmd
+}
+
+func startChild(role string, args ...string) *child {
+	GinkgoHelper()
+	cmd := childCommand(role, args...)
+	out, err := cmd.StdoutPipe()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	c := &child{cmd: cmd}
+	_, err = fmt.Fscan(out, &c.address)
+	Expect(err).NotTo(HaveOccurred())
+	if role == "instance" {
+		_, err = fmt.Fscan(out, &c.admin)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return c
+}
+
+func (c *child) signal(s syscall.Signal) {
+	GinkgoHelper()
+	Expect(c.cmd.Process.Signal(s)).To(Succeed())
+}
+
+func (c *child) runs() []standin.Run {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + c.address + "/standin/runs")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var runs []standin.Run
+	Expect(json.NewDecoder(resp.Body).Decode(&runs)).To(Succeed())
+	return runs
+}
+
+// status asks an instance for what it believes.
+func (c *child) status() admin.Status {
+	req, _ := http.NewRequest("GET", "http://"+c.admin+"/v1/status", nil)
+	req.Header.Set("Authorization", "Bearer "+testSecret)
+	resp, err := caller.Do(req)
+	if err != nil {
+		return admin.Status{}
+	}
+	defer resp.Body.Close()
+	var s admin.Status
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// leads returns the name of the instance that an instance takes for the leading one.
+func (c *child) leads() string {
+	name, _, _ := strings.Cut(c.status().Leader, ".")
+	return name
+}
--- a/transport/front/doc.go
+++ b/transport/front/doc.go
@@ -16,7 +16,8 @@
 //	whole answer                      no                 that answer
 //
 // A request under which targets have ended, here or at other instances, is not sent any more by any of
-// these ways; see crash.go.
+// these ways; see crash.go. Nor is anything sent to a target that has said that it leaves, or that it wants
+// nothing for a time; see standing.go.
 //
 // Once one try of a request has an unknown outcome, it is never again said not to have run.
 //
