Send nothing to data centres that are evacuated, and to cold targets what they bear

Cause: two facts that the deployment tells were not heeded. The row that asks for the evacuation lay in a table that is read, but no row of it beside the configuration was looked at. The rest of a target's cold time was decoded and used by nobody, and the rate in the configuration was not read. Ruled out: lateness; both were known to no instance at any time.

Change: evacuations are read along with the configuration, are part of what an instance believes (with the version of the store that found them, so that older news do not open one again), and are told as configurations are. Targets there get no new work at once, their keys move as those of a target that leaves, and after 2 s nothing is sent by any way. A cold target's keeper spaces its requests by its rate, the first one after a whole interval, so that keepers before and after a change stay within it together; without a keeper nothing is sent to it; and keys are placed by what it bears. One spell of cold has an identity, so that followers are told of it once and not with each heartbeat. Targets of a data centre that was taken back count as cold until their entries can tell.

--- a/coordination/assign/assign_test.go
+++ b/coordination/assign/assign_test.go
@@ -33,14 +33,20 @@
 // settle drives a manager whose targets answer every order at once until nothing changes.
 func settle(m *Manager, now clock.Instant, targets []view.Target) clock.Instant {
 	for range 200 {
-		now = now.Add(25 * time.Millisecond)
-		m.SetTargets(now, targets)
-		for _, o := range m.Tick(now, false) {
-			m.Finished(now, o, Done, "h")
-		}
-		if p := m.Propose(now); p != nil {
-			m.Stored(p)
-		}
+		now = settleOnce(m, now, targets)
+	}
+	return now
+}
+
+// settleOnce is one look of settle.
+func settleOnce(m *Manager, now clock.Instant, targets []view.Target) clock.Instant {
+	now = now.Add(25 * time.Millisecond)
+	m.SetTargets(now, targets)
+	for _, o := range m.Tick(now, false) {
+		m.Finished(now, o, Done, "h")
+	}
+	if p := m.Propose(now); p != nil {
+		m.Stored(p)
 	}
 	return now
 }
--- /dev/null
+++ b/coordination/assign/cold_test.go
@@ -0,0 +1,53 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/view"
+)
+
+// evenLoad is the same work for each key, in slots for all together.
+func evenLoad(total float32) *keyrange.Load {
+	load := &keyrange.Load{}
+	for key := range load {
+		load[key] = total / float32(len(load))
+	}
+	return load
+}
+
+var _ = ginkgo.Describe("keys and cold targets", func() {
+	ginkgo.It("go to them as far as they bear it, and further when they are warm (guards against a returned data centre that breaks down)", func() {
+		m := NewManager(config, nil, start)
+		m.SetCold(2, 500*time.Millisecond)
+		m.SetLoad(evenLoad(6), nil)
+		a, b := target("a"), target("b")
+		now := settle(m, start, []view.Target{a})
+		b.ColdUntil = now.Add(10 * time.Second)
+		settle(m, now, []view.Target{a, b})
+		share := float64(owners(m.Map())["b"]) / (keyrange.MaxKey + 1)
+		Expect(share).To(BeNumerically("~", 1.0/7, 0.06))
+		now = b.ColdUntil
+		settle(m, now, []view.Target{a, b})
+		share = float64(owners(m.Map())["b"]) / (keyrange.MaxKey + 1)
+		Expect(share).To(BeNumerically("~", 0.5, 0.1))
+	})
+
+	ginkgo.It("leave an evacuated data centre all at once, and come back when it is taken back", func() {
+		m := NewManager(config, nil, start)
+		m.SetLoad(evenLoad(6), nil)
+		a, b, c := target("a"), target("b"), target("c")
+		now := settle(m, start, []view.Target{a, b, c})
+		Expect(owners(m.Map())).To(HaveLen(3))
+		begun := now
+		for len(owners(m.Map())) > 2 || owners(m.Map())["a"] > 0 {
+			now = settleOnce(m, now, []view.Target{draining(a), b, c})
+			Expect(now.Sub(begun)).To(BeNumerically("<", time.Second))
+		}
+		settle(m, now, []view.Target{a, b, c})
+		Expect(owners(m.Map())).To(HaveLen(3))
+	})
+})
--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -25,6 +25,9 @@
 	// longestSent is the longest hold of any grant.
 	longestSent time.Duration
 	load        *keyrange.Load
+	// coldWork is the work that a cold target bears, in seconds of a slot of an average target per
+	// second; 0: no bound is known.
+	coldWork    float64
 	tookOver    clock.Instant
 	firstTarget clock.Instant
 	balancedAt  clock.Instant
@@ -183,6 +186,10 @@
 	}
 }
 
+// SetCold takes how many requests a second a cold target bears, 0: no bound is known, and the mean work
+// of a request at a target of average speed.
+func (m *Manager) SetCold(rate float64, work time.Duration) { m.coldWork = rate * work.Seconds() }
+
 // Finished notes the outcome of an order.
 func (m *Manager) Finished(now clock.Instant, o Order, outcome Outcome, handover string) {
 	h := m.holder(o.Target)
--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -34,8 +34,8 @@
 		}
 	}
 	m.grantAnew(e, now)
-	m.spread(e, orphans, false)
-	m.spread(e, lost, true)
+	m.spread(e, now, orphans, false)
+	m.spread(e, now, lost, true)
 	m.balance(e, now, moving)
 	if e.Changed() || len(m.current.Ranges) > joinAbove*len(m.holders) {
 		e.Join(func(owner string) bool { return m.holder(owner).takes() })
@@ -94,7 +94,7 @@
 	}
 	target := r.Next
 	if gone {
-		list := m.emptiest(m.capacities(r.Next), 1)
+		list := m.emptiest(m.capacities(now, r.Next), 1)
 		if len(list) == 0 {
 			return
 		}
@@ -157,27 +157,36 @@
 }
 
 // spread gives ranges on to the targets that take keys.
-func (m *Manager) spread(e *keyrange.Editor, ranges []keyrange.Range, lost bool) {
+func (m *Manager) spread(e *keyrange.Editor, now clock.Instant, ranges []keyrange.Range, lost bool) {
 	if len(ranges) == 0 {
 		return
 	}
-	for _, mv := range keyrange.Spread(m.current, m.load, ranges, m.capacities("")) {
+	for _, mv := range keyrange.Spread(m.current, m.load, ranges, m.capacities(now, "")) {
 		e.Move(mv.From, mv.To, mv.Next, lost)
 	}
 }
 
 // capacities lists the targets that may be given keys, but for one.
-func (m *Manager) capacities(except string) []keyrange.Capacity {
+func (m *Manager) capacities(now clock.Instant, except string) []keyrange.Capacity {
 	var list []keyrange.Capacity
 	for id, h := range m.holders {
 		if id != except && h.takes() {
-			list = append(list, keyrange.Capacity{Target: id, Slots: float64(h.target.Slots) * h.speed})
+			list = append(list, keyrange.Capacity{Target: id, Slots: m.capacity(now, h)})
 		}
 	}
 	slices.SortFunc(list, func(a, b keyrange.Capacity) int { return cmp.Compare(a.Target, b.Target) })
 	return list
 }
 
+// capacity returns the work that a target can do, in slots of an average target.
+func (m *Manager) capacity(now clock.Instant, h *holder) float64 {
+	slots := float64(h.target.Slots) * h.speed
+	if m.coldWork > 0 && now < h.target.ColdUntil {
+		return min(slots, m.coldWork)
+	}
+	return slots
+}
+
 // emptiest returns the targets with the least work for their capacity.
 func (m *Manager) emptiest(list []keyrange.Capacity, count int) []keyrange.Capacity {
 	if len(list) <= count {
@@ -205,7 +214,7 @@
 )
 
 func (m *Manager) balance(e *keyrange.Editor, now clock.Instant, moving int) {
-	targets := m.capacities("")
+	targets := m.capacities(now, "")
 	every := min(balanceLatest, max(balanceSoonest, time.Duration(len(targets))*balanceEach))
 	if m.balancedAt != clock.Never && now.Sub(m.balancedAt) < every {
 		return
--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -28,6 +28,8 @@
 	means map[string]time.Duration
 	// sizes are the mean sizes of the answers of each rule, in bytes.
 	sizes map[string]float64
+	// perRequest is the mean work of the requests for each service, in seconds.
+	perRequest map[string]float64
 }
 
 type workKey struct {
@@ -37,14 +39,31 @@
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}, sizes: map[string]float64{}}
+	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}, sizes: map[string]float64{}, perRequest: map[string]float64{}}
 }
 
 // Arrived notes a request for a key.
 func (c *Collector) Arrived(service, rule string, key uint16) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.work[workKey{service, key}] += float32(c.mean(rule).Seconds())
+	work := c.mean(rule).Seconds()
+	c.work[workKey{service, key}] += float32(work)
+	mean, known := c.perRequest[service]
+	if !known {
+		mean = work
+	}
+	c.perRequest[service] = mean + smoothing*(work-mean)
+}
+
+// PerRequest returns the mean work of the requests for a service's keys that arrive at this instance.
+func (c *Collector) PerRequest(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mean, known := c.perRequest[service]
+	if !known {
+		return firstMean
+	}
+	return time.Duration(mean * float64(time.Second))
 }
 
 func (c *Collector) mean(rule string) time.Duration {
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -135,7 +135,7 @@
 	args := &peerapi.SyncArgs{
 		StoreAnswers: answers,
 		Self:         c.config.Self, RulesVersion: snapshot.RulesVersion, TargetsDigest: snapshot.TargetsDigest,
-		InstancesVersion: snapshot.InstancesVersion, MapVersions: map[string]uint64{}, Wait: syncHold,
+		InstancesVersion: snapshot.InstancesVersion, EvacuationsVersion: snapshot.Evacuations.Version, MapVersions: map[string]uint64{}, Wait: syncHold,
 		LeavingTargets: c.leavingTargets(snapshot),
 		Quarantine:     c.quarantine.Unreported(), QuarantineVersion: c.quarantine.Version(),
 	}
@@ -209,6 +209,9 @@
 	// taken all of the time that was not spent waiting.
 	travel := max(0, now.Sub(begun)-reply.Held)
 	at := now.Add(-reply.Age - travel)
+	if c.board.SetEvacuations(reply.EvacuationsVersion, reply.Evacuated) {
+		c.log("evacuations-changed", "evacuated", reply.Evacuated, "read", reply.EvacuationsVersion, "age_ms", reply.Age.Milliseconds())
+	}
 	err := c.adoptRules(reply, at)
 	if err != nil {
 		c.log("rules-refused", "error", err.Error(), "from", fromLeader)
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
@@ -16,6 +18,9 @@
 	RulesTable  string
 	IsRules     func(store.Row) bool
 	DecodeRules func(value []byte) (version uint64, set *rules.Set, err error)
+	// Evacuates returns the data centre that a row of RulesTable asks to evacuate, as long as the row
+	// is there; nil: no row does.
+	Evacuates func(store.Row) (dataCentre string, ok bool)
 
 	TargetTable  string
 	DecodeTarget func(store.Row) (view.Target, error)
@@ -85,10 +90,34 @@
 			r.adoptRules(row, begun)
 		}
 	}
+	r.adoptEvacuations(rows, next, whole)
 	r.board.ConfirmRules(next, begun)
 	return len(rows) > 0, nil
 }
 
+// adoptEvacuations takes over which data centres are evacuated after a reading of the table as a whole,
+// or of what has changed in it.
+func (r *reader) adoptEvacuations(rows []store.Row, version uint64, whole bool) {
+	if r.source.Evacuates == nil {
+		return
+	}
+	evacuated := map[string]bool{}
+	if !whole {
+		for _, dataCentre := range r.board.Load().Evacuations.List() {
+			evacuated[dataCentre] = true
+		}
+	}
+	for _, row := range rows {
+		if dataCentre, ok := r.source.Evacuates(row); ok {
+			evacuated[dataCentre] = !row.Deleted
+		}
+	}
+	maps.DeleteFunc(evacuated, func(_ string, inForce bool) bool { return !inForce })
+	if r.board.SetEvacuations(version, slices.Collect(maps.Keys(evacuated))) {
+		r.log("evacuations-changed", "evacuated", r.board.Load().Evacuations.List(), "read", version)
+	}
+}
+
 func (r *reader) adoptRules(row store.Row, at clock.Instant) {
 	begun := time.Now()
 	version, set, err := r.source.DecodeRules(row.Value)
@@ -140,6 +169,7 @@
 		return
 	}
 	delete(r.refused, row.Key)
+	t = chill(before[row.Key], t, row.Version, now)
 	if known, ok := before[row.Key]; ok && t.Born < known.Born {
 		r.older[row.Key] = olderEntry{t, now}
 		r.targets[row.Key] = known
@@ -148,6 +178,22 @@
 	r.targets[row.Key] = t
 }
 
+// sameSpell is how far two entries may differ in when a cold time ends and still tell of the same one:
+// each is read up to a reading's pause after it was written.
+const sameSpell = time.Second
+
+// chill notes which cold time an entry tells of, and when that ends, given the entry before it.
+func chill(before, t view.Target, version uint64, now clock.Instant) view.Target {
+	if t.Cold <= 0 {
+		return t
+	}
+	t.ColdSpell, t.ColdUntil = version, now.Add(t.Cold)
+	if before.ID == t.ID && before.ColdSpell != 0 && t.ColdUntil < before.ColdUntil.Add(sameSpell) {
+		t.ColdSpell, t.ColdUntil = before.ColdSpell, before.ColdUntil
+	}
+	return t
+}
+
 // refuseTarget leaves out an entry that names no target. What it said before does not hold any
 // more: a target writes its entry again within a heartbeat.
 func (r *reader) refuseTarget(row store.Row, err error) {
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -89,7 +89,8 @@
 
 // newer reports whether a snapshot has what the sender of a report lacks.
 func newer(args *peerapi.SyncArgs, s *view.Snapshot) bool {
-	if s.Rules != nil && s.RulesVersion > args.RulesVersion || s.TargetsDigest != args.TargetsDigest || s.InstancesVersion.Compare(args.InstancesVersion) > 0 {
+	if s.Rules != nil && s.RulesVersion > args.RulesVersion || s.TargetsDigest != args.TargetsDigest || s.InstancesVersion.Compare(args.InstancesVersion) > 0 ||
+		s.Evacuations.Version > args.EvacuationsVersion {
 		return true
 	}
 	for service, m := range s.Maps {
@@ -111,6 +112,9 @@
 	reply.Quarantine, reply.QuarantineVersion = c.quarantine.News(args.QuarantineVersion)
 	s := c.board.Load()
 	reply.RulesVersion, reply.TargetsDigest = s.RulesVersion, s.TargetsDigest
+	if s.Evacuations.Version > args.EvacuationsVersion {
+		reply.EvacuationsVersion, reply.Evacuated = s.Evacuations.Version, s.Evacuations.List()
+	}
 	c.told.remember(s, toldVersions)
 	if s.Rules != nil && s.RulesVersion > args.RulesVersion {
 		if err := c.told.rulesSince(reply, args.RulesVersion); err != nil {
@@ -122,7 +126,7 @@
 		return reply
 	}
 	if s.TargetsDigest != args.TargetsDigest {
-		c.told.targets(reply, args.TargetsDigest, s)
+		c.told.targets(reply, args.TargetsDigest, s, c.clock.Now())
 	}
 	for service, m := range s.Maps {
 		if m.Version > args.MapVersions[service] {
@@ -140,7 +144,7 @@
 
 // tellWhole puts everything that is known of targets, maps and instances into a reply.
 func (c *Coordinator) tellWhole(reply *peerapi.SyncReply, s *view.Snapshot) {
-	text, err := c.told.whole(s)
+	text, err := c.told.whole(s, c.clock.Now())
 	if err != nil {
 		c.log("whole-not-told", "error", err.Error())
 		return
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -177,20 +177,19 @@
 			}, t.stored.maps[s.Name], now)
 			t.managers[s.Name] = m
 		}
-		m.SetTargets(now, markLeaving(snapshot.ByService[s.Name], leaving))
+		m.SetTargets(now, asPlaced(snapshot, snapshot.ByService[s.Name], leaving))
+		m.SetCold(s.ColdRate, t.c.collector.PerRequest(s.Name))
 	}
 }
 
-// markLeaving returns a list of targets in which those that have said themselves that they leave are
-// draining. Those that do not reach the registry would keep their keys, though requests for these are not
-// sent to them any more.
-func markLeaving(list []view.Target, leaving []string) []view.Target {
-	if len(leaving) == 0 {
-		return list
-	}
+// asPlaced returns a list of targets as keys are placed among them. Those that have said themselves that
+// they leave, and those of data centres that are evacuated, are draining: the first may not reach the
+// registry, and would keep their keys, though requests for these are not sent to them any more.
+func asPlaced(s *view.Snapshot, list []view.Target, leaving []string) []view.Target {
 	list = slices.Clone(list)
 	for i, t := range list {
-		list[i].Draining = t.Draining || slices.Contains(leaving, t.ID)
+		list[i].Draining = !s.Wanted(t) || slices.Contains(leaving, t.ID)
+		list[i].ColdUntil = s.ColdUntil(t)
 	}
 	return list
 }
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
@@ -80,7 +81,7 @@
 }
 
 // targets puts into a reply what has changed since the targets with a digest.
-func (t *told) targets(reply *peerapi.SyncReply, since uint64, s *view.Snapshot) {
+func (t *told) targets(reply *peerapi.SyncReply, since uint64, s *view.Snapshot, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var before map[string]view.Target
@@ -94,7 +95,7 @@
 	reply.TargetsWhole = before == nil
 	for id, target := range s.Targets {
 		if old, known := before[id]; !known || !old.Same(target) {
-			reply.Targets = append(reply.Targets, target)
+			reply.Targets = append(reply.Targets, target.Told(now))
 		}
 	}
 	for id := range before {
--- a/coordination/lead/tree_test.go
+++ b/coordination/lead/tree_test.go
@@ -211,7 +211,7 @@
 		g.start()
 		g.all[g.list[119].Address].standing.Heard("x", true, 0)
 		Eventually(func() []string { return g.leader.leavingTargets(g.leader.board.Load()) }, "1.5s", "20ms").Should(ConsistOf("x"))
-		Expect(markLeaving([]view.Target{{ID: "x"}, {ID: "y"}}, []string{"x"})).To(Equal([]view.Target{{ID: "x", Draining: true}, {ID: "y"}}))
+		Expect(asPlaced(&view.Snapshot{}, []view.Target{{ID: "x"}, {ID: "y"}}, []string{"x"})).To(Equal([]view.Target{{ID: "x", Draining: true}, {ID: "y"}}))
 	})
 
 	It("tells the leading instance of one that leaves", func() {
--- a/coordination/lead/whole.go
+++ b/coordination/lead/whole.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 
+	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
@@ -41,7 +42,7 @@
 }
 
 // whole returns everything in a snapshot, encoded and compressed.
-func (t *told) whole(s *view.Snapshot) ([]byte, error) {
+func (t *told) whole(s *view.Snapshot, now clock.Instant) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	versions := map[string]uint64{}
@@ -52,7 +53,7 @@
 	if last.text != nil && last.digest == s.TargetsDigest && last.instances == s.InstancesVersion && maps.Equal(last.maps, versions) {
 		return last.text, nil
 	}
-	text, err := encodeEverything(s)
+	text, err := encodeEverything(s, now)
 	if err != nil {
 		return nil, err
 	}
@@ -60,10 +61,10 @@
 	return text, nil
 }
 
-func encodeEverything(s *view.Snapshot) ([]byte, error) {
+func encodeEverything(s *view.Snapshot, now clock.Instant) ([]byte, error) {
 	all := everything{Maps: map[string]mapTold{}, Instances: s.Instances}
 	for _, target := range s.Targets {
-		all.Targets = append(all.Targets, target)
+		all.Targets = append(all.Targets, target.Told(now))
 	}
 	for service, m := range s.Maps {
 		all.Maps[service] = mapTold{m.Version, m.Ranges}
--- /dev/null
+++ b/coordination/permit/cold.go
@@ -0,0 +1,46 @@
+package permit
+
+import (
+	"time"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+// A target that has just started, or was not used for long, is slow and breaks down at a rate of requests
+// that it bears later. Its keeper spaces what goes to it: one request for each interval of its cold rate,
+// the first one after a whole interval, so that the keepers before and after a change together stay within
+// what the target bears.
+
+// coldInterval is the least time between two requests for a cold target.
+func (s Slot) coldInterval() time.Duration {
+	return time.Duration(float64(time.Second) / s.ColdRate)
+}
+
+// noteCold begins to space the requests for a target that is found to be cold.
+func (s *slot) noteCold(now clock.Instant) {
+	cold := s.Cold(now)
+	if cold && !s.spaced {
+		s.coldNext = now.Add(s.coldInterval())
+	}
+	s.spaced = cold
+}
+
+// awaitsTurn reports whether a cold target may not get the next request yet.
+func (s *slot) awaitsTurn(now clock.Instant) bool { return s.Cold(now) && now < s.coldNext }
+
+// took notes that a target got a request.
+func (s *slot) took(now clock.Instant) {
+	if s.Cold(now) {
+		s.coldNext = now.Add(s.coldInterval())
+	}
+}
+
+// does returns the number of slots of an average target that do the same as this one, for requests that
+// are expected to take the given time.
+func (s *slot) does(expected time.Duration, now clock.Instant) float64 {
+	slots := float64(s.Slots) / s.believedSlowness(now)
+	if !s.Cold(now) {
+		return slots
+	}
+	return min(slots, s.ColdRate*expected.Seconds())
+}
--- /dev/null
+++ b/coordination/permit/cold_test.go
@@ -0,0 +1,89 @@
+package permit
+
+import (
+	"time"
+
+	g "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+var _ = g.Describe("a cold target", func() {
+	const rate = 5.8
+	cold := func(until time.Duration) Slot {
+		return Slot{Target: "a", Slots: 30, ColdUntil: start.Add(until), ColdRate: rate}
+	}
+	// sent asks all the time, with answers at once, and counts what the pool lets through.
+	sent := func(f *fixture, length time.Duration) int {
+		count := 0
+		for end := f.now.Add(length); f.now < end; f.now = f.now.Add(5 * time.Millisecond) {
+			f.setSlots([]Slot{f.slots["a"].Slot}, f.now)
+			w, p, err := f.ask(func(a *Ask) { a.Left = 60 * time.Second; a.AimLeft = time.Minute })
+			if err != nil {
+				continue
+			}
+			if p.Target == "" {
+				f.serve(f.now)
+				select {
+				case done := <-w.done:
+					p = done.permit
+				default:
+					f.abandon(w.ask.ID, f.now)
+					continue
+				}
+			}
+			count++
+			f.report(Report{ID: p.ID, Target: p.Target, Rule: "r", Result: Dropped}, f.now)
+		}
+		return count
+	}
+
+	g.It("gets what it bears, and all it asks for afterwards (guards against a rush at targets that have just started)", func() {
+		f := newFixture(cold(3 * time.Second))
+		Expect(sent(f, 3*time.Second)).To(BeNumerically("~", 3*rate, 2))
+		Expect(sent(f, time.Second)).To(BeNumerically(">", 100))
+	})
+
+	g.It("gets no more from the keepers before and after a change (guards against each beginning with a burst)", func() {
+		before, after := newFixture(cold(3*time.Second)), newFixture(cold(3*time.Second))
+		sent(before, 2*time.Second)
+		after.now = before.now
+		after.setSlots([]Slot{cold(3 * time.Second)}, after.now)
+		Expect(sent(before, 500*time.Millisecond) + sent(after, 500*time.Millisecond)).To(BeNumerically("<=", 6))
+	})
+
+	g.It("is spaced anew when it turns cold in use (guards against the rate of before going on)", func() {
+		f := newFixture(Slot{Target: "a", Slots: 30, ColdRate: rate})
+		sent(f, time.Second)
+		f.setSlots([]Slot{cold(10 * time.Second)}, f.now)
+		Expect(sent(f, time.Second)).To(BeNumerically("<=", 6))
+	})
+
+	g.It("has its rate told to those that do not fit (guards against callers held until their deadline)", func() {
+		f := newFixture(cold(10 * time.Second))
+		var refused *RefusedError
+		for range 40 {
+			_, _, err := f.ask(func(a *Ask) { a.AimLeft, a.Left = 2*time.Second, 2*time.Second })
+			if err != nil {
+				Expect(err).To(BeAssignableToTypeOf(refused))
+				refused = err.(*RefusedError)
+				break
+			}
+		}
+		Expect(refused).NotTo(BeNil())
+		Expect(len(f.waiting)).To(BeNumerically("~", 2*rate, 2))
+		Expect(refused.RetryAfter).To(BeNumerically(">", time.Second))
+	})
+
+	g.It("does not hold up others of its pool", func() {
+		f := newFixture(cold(3*time.Second), Slot{Target: "b", Slots: 2})
+		_, p, err := f.ask(nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Target).To(Equal("b"))
+	})
+
+	g.It("is not cold where no rate is known", func() {
+		Expect(Slot{ColdUntil: clock.Instant(time.Hour)}.Cold(0)).To(BeFalse())
+	})
+})
--- a/coordination/permit/home.go
+++ b/coordination/permit/home.go
@@ -39,7 +39,7 @@
 	slots := 0.0
 	for _, s := range p.order {
 		if s.DataCentre == w.ask.DataCentre && now >= s.asideUntil {
-			slots += float64(s.Slots) / s.believedSlowness(now)
+			slots += s.does(w.expected, now)
 		}
 	}
 	if slots == 0 {
--- a/coordination/permit/home_test.go
+++ b/coordination/permit/home_test.go
@@ -25,7 +25,7 @@
 	homes := []string{"dc1", "dc2", "dc3"}
 	var list []Slot
 	for _, home := range homes {
-		list = append(list, Slot{home + "a", home, 6}, Slot{home + "b", home, 6})
+		list = append(list, Slot{Target: home + "a", DataCentre: home, Slots: 6}, Slot{Target: home + "b", DataCentre: home, Slots: 6})
 	}
 	f := newFixture(list...)
 	type end struct {
--- a/coordination/permit/keeper.go
+++ b/coordination/permit/keeper.go
@@ -100,7 +100,7 @@
 			}
 			continue
 		}
-		p.setSlots(k.slots(id))
+		p.setSlots(k.slots(id), now)
 		p.reclaim(now)
 		p.serve(now)
 		k.looking = true
@@ -139,7 +139,7 @@
 	defer k.mu.Unlock()
 	now := k.clock.Now()
 	p := k.pool(ask.Pool(), now)
-	p.setSlots(k.slots(ask.Pool()))
+	p.setSlots(k.slots(ask.Pool()), now)
 	w := &waiter{
 		ask: ask, arrived: now, aim: now.Add(ask.AimLeft), deadline: now.Add(ask.Left),
 		expected: p.expected(ask), done: make(chan answer, 1),
--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -29,7 +29,7 @@
 
 func newFixture(slots ...Slot) *fixture {
 	f := &fixture{pool: newPool(), now: start}
-	f.setSlots(slots)
+	f.setSlots(slots, f.now)
 	return f
 }
 
@@ -164,7 +164,7 @@
 			f.now = f.now.Add(100 * time.Millisecond)
 			f.served(p, 100*time.Millisecond)
 		}
-		f.setSlots(append(two(4), Slot{Target: "c", Slots: 4}))
+		f.setSlots(append(two(4), Slot{Target: "c", Slots: 4}), f.now)
 		used := map[string]int{}
 		for range 4 {
 			_, p, _ := f.ask(nil)
@@ -193,7 +193,7 @@
 			}
 			f.report(Report{ID: p.ID, Target: p.Target, Rule: "r", Result: Failed}, f.now)
 		}
-		Expect(f.capacity(f.now)).To(BeNumerically(">", 0))
+		Expect(f.capacity(100*time.Millisecond, f.now)).To(BeNumerically(">", 0))
 	})
 
 	// Symptom: a target's slots shrink until it gets nothing.
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -39,6 +39,10 @@
 	asideUntil clock.Instant
 	usedAt     clock.Instant
 	listed     bool
+	// spaced says that requests are spaced since the target is cold; coldNext is when it may get the
+	// next one.
+	spaced   bool
+	coldNext clock.Instant
 }
 
 // use is a permit that has been handed out.
@@ -65,7 +69,7 @@
 }
 
 // setSlots takes the targets that are there now.
-func (p *pool) setSlots(list []Slot) {
+func (p *pool) setSlots(list []Slot, now clock.Instant) {
 	for _, s := range p.slots {
 		s.listed = false
 	}
@@ -78,6 +82,7 @@
 		}
 		s.Slot = given
 		s.listed = true
+		s.noteCold(now)
 		p.order = append(p.order, s)
 	}
 	for id, s := range p.slots {
@@ -111,7 +116,7 @@
 	bestTime := time.Duration(0)
 	measured := slices.ContainsFunc(p.order, func(s *slot) bool { return s.measuredAt != clock.Never })
 	for _, s := range p.order {
-		if s.inUse >= s.Slots || now < s.asideUntil || slices.Contains(w.ask.Exclude, s.Target) {
+		if s.inUse >= s.Slots || now < s.asideUntil || s.awaitsTurn(now) || slices.Contains(w.ask.Exclude, s.Target) {
 			continue
 		}
 		if s.measuredAt == clock.Never && s.inUse > 0 && measured {
@@ -157,12 +162,13 @@
 	return 1 + (s.slowness-1)/(1+age)
 }
 
-// capacity is the number of slots of targets that can be used.
-func (p *pool) capacity(now clock.Instant) float64 {
+// capacity is the number of slots of targets that can be used for requests that are expected to take
+// the given time.
+func (p *pool) capacity(expected time.Duration, now clock.Instant) float64 {
 	total := 0.0
 	for _, s := range p.order {
 		if now >= s.asideUntil {
-			total += float64(s.Slots) / s.believedSlowness(now)
+			total += s.does(expected, now)
 		}
 	}
 	return total
@@ -176,7 +182,7 @@
 			work += v.expected
 		}
 	}
-	return waitFor(work, p.capacity(now))
+	return waitFor(work, p.capacity(w.expected, now))
 }
 
 // running returns the work that is left of the requests that have a slot.
@@ -248,6 +254,7 @@
 func (p *pool) grant(w *waiter, s *slot, now clock.Instant) Permit {
 	s.inUse++
 	s.usedAt = now
+	s.took(now)
 	p.uses[w.ask.ID] = use{
 		target: s.Target, rule: w.ask.Rule, begun: now, deadline: w.deadline,
 		expected: time.Duration(float64(w.expected) * s.believedSlowness(now)),
@@ -269,14 +276,14 @@
 		return 0
 	})
 	rest := p.waiting[:0]
-	ahead, capacity := p.running(now), p.capacity(now)
+	ahead := p.running(now)
 	for _, w := range p.waiting {
 		if s := p.pick(w, now); s != nil && now.Add(w.expected/2) <= w.deadline {
 			w.done <- answer{permit: p.grant(w, s, now)}
 			ahead += w.expected
 			continue
 		}
-		if wait := waitFor(ahead, capacity); now.Add(wait+w.expected/2) > w.deadline {
+		if wait := waitFor(ahead, p.capacity(w.expected, now)); now.Add(wait+w.expected/2) > w.deadline {
 			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, wait)}}
 			continue
 		}
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -99,8 +99,15 @@
 	Target     string
 	DataCentre string
 	Slots      int
+	// ColdUntil is until when the target is cold.
+	ColdUntil clock.Instant
+	// ColdRate is how many requests a second it bears until then; 0: no bound is known.
+	ColdRate float64
 }
 
+// Cold reports whether the target bears no more than its cold rate now.
+func (s Slot) Cold(now clock.Instant) bool { return s.ColdRate > 0 && now < s.ColdUntil }
+
 // waiter is an ask in the queue.
 type waiter struct {
 	ask      Ask
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -32,6 +32,9 @@
 
 	Maps map[string]*keyrange.Map
 
+	// Evacuations are the data centres to whose targets nothing is to be sent.
+	Evacuations Evacuations
+
 	// Instances are the ones that the leading instance hears from, sorted by id, itself
 	// included. The version is the leader's epoch and a count.
 	Instances        []Instance
@@ -238,16 +241,24 @@
 	return b.keeping
 }
 
-// sinceWhen returns a copy of a list with the times since when targets have been draining.
+// sinceWhen returns a copy of a list with the times since when targets have been draining, and
+// until when they are cold.
 func (b *Board) sinceWhen(old, list map[string]Target) map[string]Target {
 	out := maps.Clone(list)
+	now := b.clock.Now()
 	for id, t := range out {
-		if !t.Draining {
-			continue
+		before := old[id]
+		if t.ColdSpell != 0 && t.ColdUntil == 0 {
+			t.ColdUntil = now.Add(t.Cold)
+			if before.ColdSpell == t.ColdSpell {
+				t.ColdUntil = before.ColdUntil
+			}
 		}
-		t.DrainingAt = b.clock.Now()
-		if before := old[id]; before.Draining {
-			t.DrainingAt = before.DrainingAt
+		if t.Draining {
+			t.DrainingAt = now
+			if before.Draining {
+				t.DrainingAt = before.DrainingAt
+			}
 		}
 		out[id] = t
 	}
@@ -275,7 +286,7 @@
 func digest(targets map[string]Target) uint64 {
 	sum := uint64(0)
 	for _, t := range targets {
-		sum ^= xxhash.Sum64String(fmt.Sprintf("%s|%s|%s|%s|%d|%t", t.ID, t.Service, t.Address, t.DataCentre, t.Slots, t.Draining))
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s|%s|%s|%s|%d|%t|%d", t.ID, t.Service, t.Address, t.DataCentre, t.Slots, t.Draining, t.ColdSpell))
 	}
 	return sum
 }
--- /dev/null
+++ b/coordination/view/evacuation.go
@@ -0,0 +1,115 @@
+package view
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+// Evacuations are the data centres to whose targets operators want nothing sent.
+type Evacuations struct {
+	// Version is the version of the store as of which they were last found to have changed.
+	Version uint64
+	// Since says when this instance learned of each one that is in force.
+	Since map[string]clock.Instant
+	// Over says when this instance learned that one was taken back.
+	Over map[string]clock.Instant
+}
+
+// List returns the data centres that are evacuated, sorted.
+func (e Evacuations) List() []string { return slices.Sorted(maps.Keys(e.Since)) }
+
+// Covers reports whether a data centre is evacuated.
+func (e Evacuations) Covers(dataCentre string) bool {
+	_, evacuated := e.Since[dataCentre]
+	return evacuated
+}
+
+// ClosedFor reports whether a data centre has been evacuated for at least the given time.
+func (e Evacuations) ClosedFor(dataCentre string, now clock.Instant, least time.Duration) bool {
+	since, evacuated := e.Since[dataCentre]
+	return evacuated && now.Sub(since) >= least
+}
+
+// changed returns the evacuations after a reading that found the listed ones in force.
+func (e Evacuations) changed(version uint64, list []string, now clock.Instant) Evacuations {
+	next := Evacuations{Version: version, Since: map[string]clock.Instant{}, Over: maps.Clone(e.Over)}
+	if next.Over == nil {
+		next.Over = map[string]clock.Instant{}
+	}
+	for _, dataCentre := range list {
+		since, known := e.Since[dataCentre]
+		if !known {
+			since = now
+		}
+		next.Since[dataCentre] = since
+		delete(next.Over, dataCentre)
+	}
+	for dataCentre := range e.Since {
+		if !next.Covers(dataCentre) {
+			next.Over[dataCentre] = now
+		}
+	}
+	return next
+}
+
+// SetEvacuations adopts the data centres that are evacuated as of a version of the store, unless a
+// newer reading is known. It reports whether they differ from those known before.
+func (b *Board) SetEvacuations(version uint64, list []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.current.Load().Evacuations
+	if version <= old.Version {
+		return false
+	}
+	sorted := slices.Compact(slices.Sorted(slices.Values(list)))
+	if slices.Equal(sorted, old.List()) {
+		return false
+	}
+	b.replace(func(s *Snapshot) { s.Evacuations = old.changed(version, sorted, b.clock.Now()) })
+	return true
+}
+
+// evacuateAfter is how long after this instance learned of an evacuation the owners of keys still get
+// requests: their keys are given to others meanwhile. Operators count from when the store has taken the
+// evacuation; the news takes up to 1.5 s while the leading instance changes.
+const evacuateAfter = 2 * time.Second
+
+// Left reports whether nothing may be sent to a target any more: it has been draining for so long that
+// it may have ended, or its data centre is evacuated.
+func (s *Snapshot) Left(t Target, now clock.Instant) bool {
+	return t.Left(now) || s.Evacuations.ClosedFor(t.DataCentre, now, evacuateAfter)
+}
+
+// Wanted reports whether a target is to get new work: it is not about to leave, and its data centre is
+// not evacuated.
+func (s *Snapshot) Wanted(t Target) bool { return !t.Draining && !s.Evacuations.Covers(t.DataCentre) }
+
+// ColdUntil returns until when a target is taken for cold. Those of a data centre that was taken back
+// may have stood idle; their entries tell so a heartbeat later.
+func (s *Snapshot) ColdUntil(t Target) clock.Instant {
+	until := t.ColdUntil
+	over, returned := s.Evacuations.Over[t.DataCentre]
+	if !returned || s.Rules == nil {
+		return until
+	}
+	service := s.Rules.Service(t.Service)
+	if service == nil || service.ColdStart == 0 {
+		return until
+	}
+	return until.Later(over.Add(time.Duration(service.ColdStart)))
+}
+
+// ColdRate returns how many requests a second a target of a service bears while it is cold; 0: no bound
+// is known.
+func (s *Snapshot) ColdRate(service string) float64 {
+	if s.Rules == nil {
+		return 0
+	}
+	if known := s.Rules.Service(service); known != nil {
+		return known.ColdRate
+	}
+	return 0
+}
--- a/coordination/view/target.go
+++ b/coordination/view/target.go
@@ -26,8 +26,14 @@
 	Draining bool
 	// DrainingAt is when this instance learned that the target is draining.
 	DrainingAt clock.Instant
-	// Cold is how much longer the target was expected to be slow when it was listed.
+	// Cold is how much longer the target is cold, as of when it was listed or told: it is slow, and
+	// breaks down at a rate of requests that it bears otherwise.
 	Cold time.Duration
+	// ColdSpell tells one cold time of the target from the next: the version of the entry that first
+	// told of it; 0: it is not cold.
+	ColdSpell uint64
+	// ColdUntil is until when this instance takes the target for cold.
+	ColdUntil clock.Instant
 }
 
 // Same reports whether two entries are the same in what decides where requests go. The rest of
@@ -35,10 +41,18 @@
 // between instances.
 func (t Target) Same(u Target) bool {
 	t.Cold, u.Cold = 0, 0
+	t.ColdUntil, u.ColdUntil = 0, 0
 	t.DrainingAt, u.DrainingAt = 0, 0
 	return t == u
 }
 
+// Told returns the target as it is told to another instance, whose clock reads otherwise.
+func (t Target) Told(now clock.Instant) Target {
+	t.Cold = max(0, t.ColdUntil.Sub(now))
+	t.ColdUntil, t.DrainingAt = 0, 0
+	return t
+}
+
 // LeaveAfter is how long after it was known to be draining a target is still sent to. It must
 // get nothing 2 s after it said so; the news takes up to 1.5 s while the leading instance
 // changes.
--- a/instance/broker.go
+++ b/instance/broker.go
@@ -76,10 +76,10 @@
 		// An instance that is short of processor time may not have heard yet that a target
 		// leaves; its keeper is another one.
 		t, known := s.Targets[id.Target]
-		if !known || t.Left(b.clock.Now()) {
+		if !known || s.Left(t, b.clock.Now()) {
 			return nil
 		}
-		return []permit.Slot{slotOf(t)}
+		return []permit.Slot{slotOf(s, t)}
 	}
 	return b.grouped(s, id.Service).slots[id.Group]
 }
@@ -96,13 +96,14 @@
 func (b *broker) grouped(s *view.Snapshot, service string) *grouping {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if g := b.groupings[service]; g != nil && g.of.TargetsDigest == s.TargetsDigest {
+	if g := b.groupings[service]; g != nil && g.of.TargetsDigest == s.TargetsDigest && g.of.Evacuations.Version == s.Evacuations.Version &&
+		g.of.ColdRate(service) == s.ColdRate(service) {
 		return g
 	}
 	var list []permit.Slot
 	for _, t := range s.ByService[service] {
-		if !t.Draining {
-			list = append(list, slotOf(t))
+		if s.Wanted(t) {
+			list = append(list, slotOf(s, t))
 		}
 	}
 	g := &grouping{of: s, groups: permit.Groups(list), slots: map[string][]permit.Slot{}}
@@ -114,14 +115,16 @@
 	return g
 }
 
-func slotOf(t view.Target) permit.Slot {
-	return permit.Slot{Target: t.ID, DataCentre: t.DataCentre, Slots: t.Slots}
+func slotOf(s *view.Snapshot, t view.Target) permit.Slot {
+	return permit.Slot{Target: t.ID, DataCentre: t.DataCentre, Slots: t.Slots, ColdUntil: s.ColdUntil(t), ColdRate: s.ColdRate(t.Service)}
 }
 
-// spareSlots lists the targets of a pool with this instance's even share of their slots.
+// spareSlots lists the targets of a pool with this instance's even share of their slots. Those that are
+// cold are left out: nobody would bound what all instances send to them.
 func (b *broker) spareSlots(id permit.PoolID) []permit.Slot {
 	instances := len(b.board.Load().Instances)
-	list := slices.Clone(b.slots(id))
+	now := b.clock.Now()
+	list := slices.DeleteFunc(slices.Clone(b.slots(id)), func(s permit.Slot) bool { return s.Cold(now) })
 	for i := range list {
 		if instances == 0 {
 			list[i].Slots = 1
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -46,6 +46,8 @@
 	TargetsDigest    uint64
 	MapVersions      map[string]uint64
 	InstancesVersion view.InstancesVersion
+	// EvacuationsVersion is that of the evacuations that the sender knows.
+	EvacuationsVersion uint64
 	// Wait is how long the answer may be held until there is something newer.
 	Wait time.Duration
 	Work []Work
@@ -107,6 +109,10 @@
 	// rules.Changes; nil: the report had that version. RulesFrom is 0 for changes from nothing.
 	RulesFrom    uint64
 	RulesChanges []byte
+	// EvacuationsVersion is given when it is newer than the one in the report, with all data centres
+	// that are evacuated.
+	EvacuationsVersion uint64
+	Evacuated          []string
 	// TargetsDigest identifies the targets, TargetsRead is the version of the store as of
 	// which they were read.
 	TargetsDigest uint64
--- a/protocol/rules/check.go
+++ b/protocol/rules/check.go
@@ -102,6 +102,12 @@
 	if s.Imbalance == 0 {
 		s.Imbalance = DefaultImbalance
 	}
+	if s.ColdStart < 0 {
+		c.add("cold_start", "is %v; write 0s or a time above", time.Duration(s.ColdStart))
+	}
+	if s.ColdRate < 0 {
+		c.add("cold_rate", "is %v; write 0 for no bound, or a number above", s.ColdRate)
+	}
 	if s.Imbalance < 1 {
 		c.add("imbalance", "is %v; it is a ratio of at least 1", s.Imbalance)
 	}
--- a/protocol/rules/types.go
+++ b/protocol/rules/types.go
@@ -28,6 +28,11 @@
 	// Imbalance is the ratio of the fullest target to the mean from which on keys move for
 	// balance. Default 1.2.
 	Imbalance float64 `toml:"imbalance"`
+	// ColdStart is how long a target is cold after it starts. 0: it is not.
+	ColdStart Duration `toml:"cold_start"`
+	// ColdRate is how many requests a second a cold target bears, from all instances. 0 sets no
+	// bound.
+	ColdRate float64 `toml:"cold_rate"`
 }
 
 // Rule is one "when … then …".
--- a/transport/front/standing.go
+++ b/transport/front/standing.go
@@ -43,10 +43,10 @@
 }
 
 // hasLeft reports whether a target has been about to leave for so long that nothing may be sent to it.
-// The registry tells so, and the target itself in its answers: while the store of the registry is away,
-// only the second is heard.
+// The registry and the operators tell so, and the target itself in its answers: while the store is away,
+// only the last is heard.
 func (c *call) hasLeft(t view.Target) bool {
-	return t.Left(c.h.clock.Now()) || c.h.config.Standing.Left(t.ID)
+	return c.h.board.Load().Left(t, c.h.clock.Now()) || c.h.config.Standing.Left(t.ID)
 }
 
 // awaitPause waits for the end of a short pause that the owner of a key wants. Through a longer one the
--- a/transport/front/standing_test.go
+++ b/transport/front/standing_test.go
@@ -151,3 +151,37 @@
 		Expect(f.up.tries).To(HaveLen(1))
 	})
 })
+
+// Operators count from when they asked for it, whatever a request was doing then.
+var _ = Describe("a target in an evacuated data centre", func() {
+	const closed = 2100 * time.Millisecond
+	evacuate := func(f *fixture) { f.board.SetEvacuations(2, []string{""}) }
+
+	It("gets requests for its keys for a while, and none after that", func() {
+		f := newFixture()
+		evacuate(f)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+		time.Sleep(closed)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.do("GET", "/p").Code).To(Equal(503))
+		Expect(f.up.tries).To(HaveLen(1))
+	})
+
+	It("gets none that waited for a slot until then (guards against a permit of before)", func() {
+		f := newFixture()
+		f.permits.before = func() {
+			evacuate(f)
+			time.Sleep(closed)
+		}
+		Expect(f.do("POST", "/k/a").Code).To(Equal(503))
+		Expect(f.up.tries).To(BeEmpty())
+	})
+
+	It("gets requests again when it is taken back", func() {
+		f := newFixture()
+		evacuate(f)
+		time.Sleep(closed)
+		f.board.SetEvacuations(3, nil)
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+	})
+})
