Let operators evacuate a data centre, and have the soak check both rules over real processes

In the soak targets stand in three data centres and are cold at each start, data centres are evacuated in turn, and it checks from what targets saw that nothing reached an evacuated one 5 s later through an instance that was in touch, and that no cold target got more in a second than it bears.

--- a/cmd/lycheehall-standin/main.go
+++ b/cmd/lycheehall-standin/main.go
@@ -40,6 +40,9 @@
 	advertise  string
 	record     string
 	plant      string
+	cold       time.Duration
+	coldRate   float64
+	disturbed  bool
 }
 
 func main() {
@@ -60,6 +63,9 @@
 	runTarget.Duration(&o.work, "", "work", "How long a request takes.")
 	runTarget.String(&o.advertise, "", "advertise", "Address to register in place of the one listened on.")
 	runTarget.String(&o.record, "", "record", "File to which a line is added for each run.")
+	runTarget.Duration(&o.cold, "", "cold", "How long the target is cold after its start.")
+	runTarget.Float64(&o.coldRate, "", "cold-rate", "Requests a second that it bears while it is cold; it ends above that.")
+	runTarget.Bool(&o.disturbed, "", "disturbed", "Others on its machine slow the target down at times.")
 	runTarget.String(&o.plant, "", "plant", "Fault to have: twice, denied, foreign or fence.")
 	flaggy.AttachSubcommand(runPlatform, 1)
 	flaggy.AttachSubcommand(runTarget, 1)
@@ -101,6 +107,9 @@
 	target.Born = time.Now().UnixMilli()
 	target.Work = o.work
 	target.Plant = standin.Plant(o.plant)
+	target.DataCentre, target.Disturbed = o.dataCentre, o.disturbed
+	target.Cold, target.ColdRate = time.Now().Add(o.cold), o.coldRate
+	target.Crash = func() { os.Exit(1) }
 	if o.record != "" {
 		if err := record(target, o.record); err != nil {
 			return err
--- a/cmd/lycheehall/main.go
+++ b/cmd/lycheehall/main.go
@@ -62,6 +62,9 @@
 	logs    []string
 
 	fingerprint string
+
+	dataCentre string
+	over       bool
 }
 
 // command is a subcommand with its action.
@@ -131,6 +134,9 @@
 	declareChange(rollback, o)
 	add("status", "Show instances, targets and versions in force, and how old they are.", runStatus)
 	declareExplain(add("explain", "Tell what would happen to a request.", runExplain), o)
+	evacuate := add("evacuate", "Send nothing to the targets of a data centre.", runEvacuate)
+	evacuate.AddPositionalValue(&o.dataCentre, "data-centre", 1, true, "Name of the data centre.")
+	evacuate.Bool(&o.over, "", "over", "Take the data centre back.")
 	add("quarantine", "List the requests that reach no target, since targets have ended under them.", runQuarantine)
 	release := add("release", "Let a quarantined request in again.", runRelease)
 	release.AddPositionalValue(&o.fingerprint, "fingerprint", 1, true, "Fingerprint of the request.")
--- a/cmd/lycheehall/operate.go
+++ b/cmd/lycheehall/operate.go
@@ -45,6 +45,9 @@
 		return printJSON(s)
 	}
 	fmt.Printf("as seen by %s: leader %s, term %d, rules %d, known %d ms ago\n", s.Instance, s.Leader, s.Term, s.Rules, s.KnownMs)
+	for _, dataCentre := range s.Evacuated {
+		fmt.Printf("evacuated, its targets get nothing: %s\n", dataCentre)
+	}
 	for _, note := range s.NotUnderstood {
 		fmt.Printf("not understood, its callers are refused: %s\n", note)
 	}
@@ -78,6 +81,9 @@
 		if t.Draining {
 			text = "  draining"
 		}
+		if t.ColdMs > 0 {
+			text += fmt.Sprintf("  cold for %d ms", t.ColdMs)
+		}
 		fmt.Printf("  target %-24s %-12s %5d keys%s\n", t.ID, t.DataCentre, t.Keys, text)
 	}
 }
--- a/instance/operate.go
+++ b/instance/operate.go
@@ -113,7 +113,7 @@
 	leader := o.coordinator.Leader()
 	status := admin.Status{
 		Instance: o.self.ID, Leader: leader.Holder, Term: leader.Term, Leading: o.coordinator.Leading(),
-		KnownMs: o.clock.Now().Sub(o.board.KnownAt()).Milliseconds(), Rules: s.RulesVersion,
+		KnownMs: o.clock.Now().Sub(o.board.KnownAt()).Milliseconds(), Rules: s.RulesVersion, Evacuated: s.Evacuations.List(),
 	}
 	found, missing := o.ask(ctx, &peerapi.DescribeArgs{})
 	for _, d := range found {
@@ -157,7 +157,13 @@
 		}
 	}
 	for _, t := range s.ByService[name] {
-		out.Targets = append(out.Targets, admin.TargetStatus{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Keys: keys[t.ID], Draining: t.Draining})
+		cold := time.Duration(0)
+		if s.ColdRate(name) > 0 {
+			cold = max(0, s.ColdUntil(t).Sub(o.clock.Now()))
+		}
+		out.Targets = append(out.Targets, admin.TargetStatus{
+			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Keys: keys[t.ID], Draining: t.Draining, ColdMs: cold.Milliseconds(),
+		})
 	}
 	return out
 }
@@ -262,6 +268,16 @@
 	return version, err
 }
 
+// Evacuate implements admin.Backend.
+func (o operators) Evacuate(ctx context.Context, dataCentre string, inForce bool) error {
+	if !o.platform.OwnRules {
+		return errForeignRules
+	}
+	err := rulestore.Evacuate(ctx, o.platform.Store, dataCentre, inForce)
+	o.log.Event("evacuation-change", "data_centre", dataCentre, "in_force", inForce, "error", errorText(err))
+	return err
+}
+
 // Quarantine implements admin.Backend.
 func (o operators) Quarantine() []quarantine.Notice { return o.quarantine.List() }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -125,6 +125,11 @@
 	targetsAt []string
 }
 
+// dataCentres is the number of data centres of a fleet.
+const dataCentres = 3
+
+func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%dataCentres+1) }
+
 // Size is how many processes of each kind a Fleet has.
 type Size struct {
 	Instances int
@@ -216,6 +221,7 @@
 	args := []string{
 		"--listen", address, "target", "--platform", f.storeAt, "--id", name, "--service", "bookings", "--work", "15ms",
 		"--advertise", proxy.Address(), "--record", filepath.Join(f.dir, name+".runs"),
+		"--data-centre", dataCentre(i), "--cold", coldFor.String(), "--cold-rate", fmt.Sprint(coldRate), "--disturbed",
 	}
 	if plant != "" {
 		args = append(args, "--plant", plant)
@@ -246,8 +252,8 @@
 	proxy.PointTo(f.storeAt)
 	name := fmt.Sprintf("instance%d", i+1)
 	settings := filepath.Join(f.dir, name+".toml")
-	text := fmt.Sprintf("name = %q\ndata_centre = \"dc%d\"\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n",
-		name, i%3+1, addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address())
+	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n",
+		name, dataCentre(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address())
 	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +55,9 @@
 	faults  int
 	// interrupted are the faults of processes.
 	interrupted interruptions
+	// outOfTouch are the times in which instances did not run or did not reach the store, by their addresses
+	// for callers.
+	outOfTouch spans
 }
 
 // Run plays one seed.
@@ -78,9 +82,11 @@
 		return nil, err
 	}
 	leaving := s.startLeaving()
+	evacuations := s.startEvacuations()
 	s.inject()
 	s.pending.Wait()
 	leaving()
+	evacuated := evacuations()
 	result := &Result{Faults: s.faults, Wrong: changes.Stop()}
 	for _, err := range []error{s.settle("recovery"), changes.settled()} {
 		if err != nil {
@@ -95,6 +101,8 @@
 	}
 	result.Wrong = append(result.Wrong, Check(told, runs)...)
 	result.Wrong = append(result.Wrong, checkLeaving(told, runs, s.interrupted.instances(fleet))...)
+	result.Wrong = append(result.Wrong, checkEvacuations(told, runs, evacuated, s.outOfTouch.of)...)
+	result.Wrong = append(result.Wrong, checkCold(runs)...)
 	return result, nil
 }
 
@@ -167,15 +175,29 @@
 
 // restart starts a process again once it has ended.
 func (s *soak) restart(p *process, most time.Duration) {
+	back := s.loseTouch(p)
 	s.after(s.upTo(2*time.Second), func() {
 		p.end(most)
 		if err := p.start(); err != nil {
 			s.Progress("%v", err)
 		}
 		s.interrupted.note(p)
+		back()
 	})
 }
 
+// loseTouch notes that a process, if it is an instance, is out of touch until the returned function is
+// called.
+func (s *soak) loseTouch(p *process) (back func()) {
+	n := slices.Index(s.fleet.instances, p)
+	begun := time.Now()
+	return func() {
+		if n >= 0 {
+			s.outOfTouch.note(s.fleet.callersAt[n], begun, time.Now())
+		}
+	}
+}
+
 func (s *soak) kill(p *process) string {
 	s.interrupted.note(p)
 	p.signal(syscall.SIGKILL)
@@ -194,22 +216,31 @@
 func (s *soak) pause(p *process, most time.Duration) string {
 	s.interrupted.note(p)
 	p.signal(syscall.SIGSTOP)
+	back := s.loseTouch(p)
 	s.after(s.upTo(most), func() {
 		p.signal(syscall.SIGCONT)
 		s.interrupted.note(p)
+		back()
 	})
 	return "pause " + p.name
 }
 
 func (s *soak) cut(what string, proxies ...*Proxy) string {
 	fault := []Fault{Delayed, Reset, Silent, OneWay}[s.random.IntN(4)]
+	var back []func()
 	for _, p := range proxies {
 		p.Set(fault)
+		if n := slices.Index(s.fleet.toStore, p); n >= 0 {
+			back = append(back, s.loseTouch(s.fleet.instances[n]))
+		}
 	}
 	s.after(s.upTo(6*time.Second), func() {
 		for _, p := range proxies {
 			p.Set(Sound)
 		}
+		for _, done := range back {
+			done()
+		}
 	})
 	return fmt.Sprintf("%s: %s", what, fault)
 }
