Go by the pace that targets tell, and by what they usually tell when that is old

Callers saw: short requests without keys were late by being sent to targets that were disturbed at that moment, and requests for keys were queued or refused by a mean of their target's time over seconds.

Cause: targets say with each answer how long work takes with them now; it changes several times a second and was not read.

Change: the fourth figure of the load header is read. A keeper believes the last word, with a weight that falls to nothing in 400 ms, and the usual one beyond; requests are measured in the time that an average target takes, so that what waits and what runs add up. Targets that tell nothing are measured as before. The leading instance sums up what targets told in place of ratios.

--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -26,6 +26,8 @@
 	work  map[workKey]float32
 	pace  map[string]*peerapi.Pace
 	means map[string]time.Duration
+	// works are the mean times of each rule's requests at a target of usual pace.
+	works map[string]time.Duration
 	// sizes are the mean sizes of the answers of each rule, in bytes.
 	sizes map[string]float64
 	// perRequest is the mean work of the requests for each service, in seconds.
@@ -39,14 +41,14 @@
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}, sizes: map[string]float64{}, perRequest: map[string]float64{}}
+	return &Collector{work: map[workKey]float32{}, pace: map[string]*peerapi.Pace{}, means: map[string]time.Duration{}, works: map[string]time.Duration{}, sizes: map[string]float64{}, perRequest: map[string]float64{}}
 }
 
 // Arrived notes a request for a key.
 func (c *Collector) Arrived(service, rule string, key uint16) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	work := c.mean(rule).Seconds()
+	work := c.workOf(rule).Seconds()
 	c.work[workKey{service, key}] += float32(work)
 	mean, known := c.perRequest[service]
 	if !known {
@@ -73,6 +75,13 @@
 	return firstMean
 }
 
+func (c *Collector) workOf(rule string) time.Duration {
+	if work, ok := c.works[rule]; ok {
+		return work
+	}
+	return firstMean
+}
+
 // Expected returns the mean time of a rule's requests.
 func (c *Collector) Expected(rule string) time.Duration {
 	c.mu.Lock()
@@ -87,28 +96,51 @@
 	return c.sizes[rule]
 }
 
-// Answered notes how long a target took for a request, and the size of its answer in bytes.
-func (c *Collector) Answered(target, rule string, took time.Duration, size int) {
+// Answer is what an answer shows of its target.
+type Answer struct {
+	Took time.Duration
+	// Size is that of the body, in bytes.
+	Size int
+	// Slowness is how many times as long as usual work takes at the target now, by its own word; 0: it
+	// does not say.
+	Slowness float64
+}
+
+// Answered notes an answer of a target.
+func (c *Collector) Answered(target, rule string, a Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if mean, known := c.sizes[rule]; known {
-		c.sizes[rule] = mean + smoothing*(float64(size)-mean)
+		c.sizes[rule] = mean + smoothing*(float64(a.Size)-mean)
 	} else {
-		c.sizes[rule] = float64(size)
+		c.sizes[rule] = float64(a.Size)
 	}
 	mean, known := c.means[rule]
+	slowness, work := a.Slowness, a.Took
+	if slowness > 0 {
+		work = time.Duration(float64(a.Took) / slowness)
+	}
 	if !known {
-		c.means[rule] = took
+		c.means[rule], c.works[rule] = a.Took, work
 		return
 	}
+	if slowness == 0 {
+		slowness = float64(a.Took) / float64(mean)
+	}
 	p := c.pace[target]
 	if p == nil {
 		p = &peerapi.Pace{Target: target}
 		c.pace[target] = p
 	}
 	p.Count++
-	p.Slowness += float64(took) / float64(mean)
-	c.means[rule] = mean + time.Duration(smoothing*float64(took-mean))
+	p.Slowness += slowness
+	c.means[rule] = smoothed(mean, a.Took)
+	c.works[rule] = smoothed(c.works[rule], work)
+}
+
+// smoothed returns a mean after another value.
+func smoothed(mean, value time.Duration) time.Duration {
+	return mean + time.Duration(smoothing*float64(value-mean))
 }
 
 // Add takes what another instance has collected, to be drained with what was collected here.
--- a/coordination/demand/demand_test.go
+++ b/coordination/demand/demand_test.go
@@ -86,7 +86,7 @@
 var _ = Describe("a collector", func() {
 	It("hands over each request once, with the mean work of its rule", func() {
 		c := NewCollector()
-		c.Answered("t", "r", 200*time.Millisecond, 100)
+		c.Answered("t", "r", Answer{Took: 200 * time.Millisecond, Size: 100})
 		c.Arrived("s", "r", 7)
 		c.Arrived("s", "r", 7)
 		work, _ := c.Drain()
--- a/coordination/permit/home.go
+++ b/coordination/permit/home.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	wait := waitFor(p.workAtHome(w, now), slots)
-	took := time.Duration(float64(w.expected) * homeMargin)
+	took := time.Duration(float64(w.took) * homeMargin)
 	return wait < w.ask.Abroad && now.Add(wait+took) < w.aim
 }
 
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -10,12 +10,6 @@
 const (
 	// smoothing is the weight of a new duration in the running mean.
 	smoothing = 0.1
-	// slownessHalf is the time after which half of what is known about a target's speed is
-	// forgotten, so that one that has recovered is tried again.
-	slownessHalf = 4 * time.Second
-	// untried is the slowness assumed of a target that has not been used yet: faster than
-	// most, so that one that joins is used soon, though with one request at first.
-	untried = 0.5
 	// failureLimit is the share of failures from which on a target is set aside.
 	failureLimit = 0.5
 	// asideFor is how long a target without an answer is not used.
@@ -31,10 +25,8 @@
 // slot is a target as its pool knows it.
 type slot struct {
 	Slot
-	inUse int
-	// slowness is the target's time for a request relative to the pool's mean.
-	slowness   float64
-	measuredAt clock.Instant
+	pace
+	inUse      int
 	failures   float64
 	asideUntil clock.Instant
 	usedAt     clock.Instant
@@ -51,7 +43,10 @@
 	rule     string
 	begun    clock.Instant
 	deadline clock.Instant
+	// expected is the time that the request should take at an average target, slowness how many times
+	// as long its target was believed to take.
 	expected time.Duration
+	slowness float64
 }
 
 // pool hands out the slots of one target, or of the targets that serve the same.
@@ -77,7 +72,7 @@
 	for _, given := range list {
 		s := p.slots[given.Target]
 		if s == nil {
-			s = &slot{slowness: 1, measuredAt: clock.Never, asideUntil: clock.Never, usedAt: clock.Never}
+			s = &slot{pace: newPace(), asideUntil: clock.Never, usedAt: clock.Never}
 			p.slots[given.Target] = s
 		}
 		s.Slot = given
@@ -154,14 +149,6 @@
 	return s.usedAt < other.usedAt
 }
 
-func (s *slot) believedSlowness(now clock.Instant) float64 {
-	if s.measuredAt == clock.Never {
-		return 1
-	}
-	age := float64(now.Sub(s.measuredAt)) / float64(slownessHalf)
-	return 1 + (s.slowness-1)/(1+age)
-}
-
 // capacity is the number of slots of targets that can be used for requests that are expected to take
 // the given time.
 func (p *pool) capacity(expected time.Duration, now clock.Instant) float64 {
@@ -174,6 +161,21 @@
 	return total
 }
 
+// slowness is how many times as long as at an average target requests take in the pool now.
+func (p *pool) slowness(now clock.Instant) float64 {
+	slots, does := 0.0, 0.0
+	for _, s := range p.order {
+		if now >= s.asideUntil {
+			slots += float64(s.Slots)
+			does += float64(s.Slots) / s.believedSlowness(now)
+		}
+	}
+	if does == 0 {
+		return 1
+	}
+	return slots / does
+}
+
 // wait estimates how long until the request would get a slot.
 func (p *pool) wait(w *waiter, now clock.Instant) time.Duration {
 	work := p.running(now)
@@ -194,9 +196,10 @@
 	return work
 }
 
-// left is the work that is left of a request.
+// left is the work that is left of a request, as the time that an average target takes for it.
 func (u use) left(now clock.Instant) time.Duration {
-	return max(u.expected-now.Sub(u.begun), u.expected/4)
+	done := time.Duration(float64(now.Sub(u.begun)) / u.slowness)
+	return max(u.expected-done, u.expected/4)
 }
 
 // waitFor returns how long work takes that slots do beside each other.
@@ -215,6 +218,7 @@
 	if !p.serves(w) {
 		return Permit{}, false, &RefusedError{Reason: ReasonNoTarget, RetryAfter: time.Second}
 	}
+	w.took = time.Duration(float64(w.expected) * p.slowness(now))
 	if s := p.pick(w, now); s != nil && !p.outranked(w, now) {
 		return p.grant(w, s, now), false, nil
 	}
@@ -222,7 +226,7 @@
 	if w.ask.NoQueue {
 		return Permit{}, false, &RefusedError{Reason: ReasonBusy, RetryAfter: max(wait, time.Millisecond)}
 	}
-	if room := now.Add(wait + w.expected); room > w.worthUntil() {
+	if room := now.Add(wait + w.took); room > w.worthUntil() {
 		return Permit{}, false, &RefusedError{Reason: ReasonFull, RetryAfter: max(leastRetryAfter, wait)}
 	}
 	p.waiting = append(p.waiting, w)
@@ -257,7 +261,7 @@
 	s.took(now)
 	p.uses[w.ask.ID] = use{
 		target: s.Target, rule: w.ask.Rule, begun: now, deadline: w.deadline,
-		expected: time.Duration(float64(w.expected) * s.believedSlowness(now)),
+		expected: w.expected, slowness: s.believedSlowness(now),
 	}
 	return Permit{ID: w.ask.ID, Target: s.Target, Waited: now.Sub(w.arrived)}
 }
@@ -266,6 +270,10 @@
 // more urgent requests may have come since it was queued. Holding it until its time is over
 // would leave its caller none to come back in.
 func (p *pool) serve(now clock.Instant) {
+	slowness := p.slowness(now)
+	for _, w := range p.waiting {
+		w.took = time.Duration(float64(w.expected) * slowness)
+	}
 	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
 		switch {
 		case a.before(b, now):
@@ -278,12 +286,12 @@
 	rest := p.waiting[:0]
 	ahead := p.running(now)
 	for _, w := range p.waiting {
-		if s := p.pick(w, now); s != nil && now.Add(w.expected/2) <= w.deadline {
+		if s := p.pick(w, now); s != nil && now.Add(w.took/2) <= w.deadline {
 			w.done <- answer{permit: p.grant(w, s, now)}
 			ahead += w.expected
 			continue
 		}
-		if wait := waitFor(ahead, p.capacity(w.expected, now)); now.Add(wait+w.expected/2) > w.deadline {
+		if wait := waitFor(ahead, p.capacity(w.expected, now)); now.Add(wait+w.took/2) > w.deadline {
 			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, wait)}}
 			continue
 		}
@@ -310,23 +318,13 @@
 }
 
 func (p *pool) learn(s *slot, u use, r Report, now clock.Instant) {
+	if r.Slowness > 0 {
+		s.heard(r.Slowness, now)
+	}
 	switch r.Result {
 	case Served:
 		s.failures *= 1 - smoothing
-		mean := p.means[u.rule]
-		if mean == 0 {
-			p.means[u.rule] = r.Took
-			s.measuredAt = now
-			return
-		}
-		ratio := float64(r.Took) / float64(mean)
-		if s.measuredAt == clock.Never {
-			s.slowness = (1 + ratio) / 2
-		} else {
-			s.slowness = s.believedSlowness(now)*(1-smoothing) + ratio*smoothing
-		}
-		s.measuredAt = now
-		p.means[u.rule] = time.Duration(float64(mean)*(1-smoothing/4) + float64(r.Took)/s.slowness*smoothing/4)
+		p.learnTime(s, u.rule, r, now)
 	case Failed, Shed:
 		s.failures = s.failures*(1-smoothing) + smoothing
 		if s.failures > failureLimit && p.mayRest(now) {
@@ -340,6 +338,27 @@
 	}
 }
 
+// learnTime learns from the time of an answer: how long the rule's requests take at an average target,
+// and, where the target does not say so, how slow it is.
+func (p *pool) learnTime(s *slot, rule string, r Report, now clock.Instant) {
+	mean := p.means[rule]
+	if r.Slowness > 0 {
+		took := float64(r.Took) / r.Slowness
+		if mean == 0 {
+			mean = time.Duration(took)
+		}
+		p.means[rule] = time.Duration(float64(mean)*(1-smoothing/4) + took*smoothing/4)
+		return
+	}
+	if mean == 0 {
+		p.means[rule] = r.Took
+		s.measuredAt = now
+		return
+	}
+	s.measured(float64(r.Took)/float64(mean), now)
+	p.means[rule] = time.Duration(float64(mean)*(1-smoothing/4) + float64(r.Took)/s.slowness*smoothing/4)
+}
+
 // mayRest reports whether one more target may be set aside: never most of a pool, since
 // then it is not the targets that are at fault, or nothing is gained by it.
 func (p *pool) mayRest(now clock.Instant) bool {
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -68,6 +68,9 @@
 	Rule   string
 	Result Result
 	Took   time.Duration
+	// Slowness is how many times as long as usual work takes at the target now, by its own word; 0: it
+	// does not say.
+	Slowness float64
 }
 
 // RefusedError says that there is no room for a request.
@@ -114,8 +117,10 @@
 	arrived  clock.Instant
 	aim      clock.Instant
 	deadline clock.Instant
-	expected time.Duration
-	done     chan answer
+	// expected is the time that the request should take at an average target, took at those of its
+	// pool as they are now.
+	expected, took time.Duration
+	done           chan answer
 }
 
 type answer struct {
@@ -137,5 +142,5 @@
 
 // inTime reports whether the request would be answered within its aim if it were sent now.
 func (w *waiter) inTime(now clock.Instant) bool {
-	return now.Add(w.expected/2) < w.aim
+	return now.Add(w.took/2) < w.aim
 }
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -37,6 +37,8 @@
 	Rules(ctx context.Context) (rulestore.Record, error)
 	History(ctx context.Context) ([]rulestore.Record, error)
 	Apply(ctx context.Context, base uint64, change rulestore.Record) (uint64, error)
+	// Evacuate asks that nothing be sent to the targets of a data centre, or takes that back.
+	Evacuate(ctx context.Context, dataCentre string, inForce bool) error
 	// Quarantine lists the requests that are to reach no target; Release lets one in again, and reports
 	// whether it was there.
 	Quarantine() []quarantine.Notice
@@ -53,6 +55,8 @@
 	// KnownMs is the age of what is believed of configuration and registry, in ms.
 	KnownMs int64  `json:"known_ms"`
 	Rules   uint64 `json:"rules"`
+	// Evacuated are the data centres to whose targets nothing is sent.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// NotUnderstood lists what of the rules in force was not understood; requests concerned
 	// are refused.
 	NotUnderstood []string `json:"not_understood,omitempty"`
@@ -87,6 +91,8 @@
 	DataCentre string `json:"data_centre"`
 	Keys       int    `json:"keys"`
 	Draining   bool   `json:"draining,omitempty"`
+	// ColdMs is how much longer the target gets no more than what a cold one bears, in ms.
+	ColdMs int64 `json:"cold_ms,omitempty"`
 }
 
 // ApplyRequest asks for new rules. Base is the version it started from.
@@ -97,6 +103,13 @@
 	Text     string `json:"text"`
 }
 
+// EvacuateRequest asks that nothing be sent to the targets of a data centre, or, if it is over, takes that
+// back.
+type EvacuateRequest struct {
+	DataCentre string `json:"data_centre"`
+	Over       bool   `json:"over,omitempty"`
+}
+
 // ExplainRequest describes a request that is not made.
 type ExplainRequest struct {
 	Method string      `json:"method"`
@@ -168,6 +181,7 @@
 	operator.HandleFunc("GET /v1/rules/history", h.history)
 	if token != "" {
 		operator.HandleFunc("POST /v1/rules", h.apply)
+		operator.HandleFunc("POST /v1/evacuations", h.evacuate)
 		operator.HandleFunc("POST /v1/quarantine/release", h.release)
 	}
 	mux.Handle("/v1/", authorised(operator, token))
@@ -275,6 +289,18 @@
 	writeJSON(w, http.StatusOK, Result{Version: version, Code: "accepted"})
 }
 
+func (h *handler) evacuate(w http.ResponseWriter, r *http.Request) {
+	var req EvacuateRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if err := h.b.Evacuate(r.Context(), req.DataCentre, !req.Over); err != nil {
+		writeError(w, 0, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Result{Code: "accepted"})
+}
+
 func (h *handler) quarantine(w http.ResponseWriter, _ *http.Request) {
 	list := []Quarantined{}
 	for _, n := range h.b.Quarantine() {
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
@@ -38,13 +39,16 @@
 	took := time.Since(begun)
 	c.targets = append(c.targets, t.ID)
 	c.lastErr = err
-	c.heard(t, wordOf(answer, err))
+	word := wordOf(answer, err)
+	c.heard(t, word)
 	if errors.Is(err, upstream.ErrEnded) {
 		c.ended(t, took)
 	}
-	c.h.permits.Release(c.report(p, outcomeOf(ctx, answer, err), took))
+	report := c.report(p, outcomeOf(ctx, answer, err), took)
+	report.Slowness = word.Slowness
+	c.h.permits.Release(report)
 	if err == nil && answer.Status < http.StatusInternalServerError {
-		c.h.collector.Answered(t.ID, c.decision.Rule.Name, took, len(answer.Body))
+		c.h.collector.Answered(t.ID, c.decision.Rule.Name, demand.Answer{Took: took, Size: len(answer.Body), Slowness: word.Slowness})
 	}
 	return c.judge(ctx, wait, answer, err)
 }
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"lycheehall.example/lycheehall/protocol/wire"
@@ -34,6 +35,8 @@
 	Leaving bool
 	// Pause is how long the target wants nothing more from this instance; 0: it does not say.
 	Pause time.Duration
+	// Slowness is how many times as long as usual work takes at the target now; 0: it does not say.
+	Slowness float64
 }
 
 // NotRunError is a target's word that it did not run a request.
@@ -284,12 +287,34 @@
 		return Word{}
 	}
 	w := Word{Leaving: resp.Header.Get(names.Leaving) != ""}
+	w.Slowness = slownessOf(resp.Header.Get(names.Load))
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		w.Pause = pauseOf(resp.Header.Get("Retry-After"))
 	}
 	return w
 }
 
+const (
+	// loadFields is the number of figures in a load header: requests running, waiting and slots, and how
+	// long work takes now, in percent of the usual. Older targets send the first three.
+	loadFields = 4
+	// mostSlowness bounds what is believed of the last one.
+	mostSlowness = 100
+)
+
+// slownessOf reads how many times as long as usual work takes from a load header; 0: it does not say.
+func slownessOf(header string) float64 {
+	fields := strings.Split(header, ",")
+	if len(fields) != loadFields {
+		return 0
+	}
+	percent, err := strconv.ParseFloat(strings.TrimSpace(fields[loadFields-1]), 64)
+	if err != nil || math.IsNaN(percent) || percent <= 0 {
+		return 0
+	}
+	return min(percent/100, mostSlowness)
+}
+
 // pauseOf reads a Retry-After header in seconds, which may have a fraction. Whatever else it holds says
 // nothing.
 func pauseOf(header string) time.Duration {
