Order the queue for slots by what is in time and by turn, and queue what may get its slot within its aim

Of the late look-ups nearly half had been refused first as "full" and had come back.

Cause: with few slots a target rank came before all else, so the less urgent half of the requests waited for all of the other half; and what was expected to end after its aim was refused, though the time of a request varies so much that a good part of those would have ended within it. Ruled out: uneven placing; the spread of use among targets is what 40 requests of such times in four seconds give by chance.

Change: what can still be in time goes first, whatever its rank; then the turn counts, where each rank stands the time of one request behind the one above it. A request is queued when its slot is expected within its aim. More urgent requests are still served better than less urgent ones.

--- a/coordination/permit/doc.go
+++ b/coordination/permit/doc.go
@@ -7,9 +7,9 @@
 // hashing. An instance asks it for a permit before it sends, and gives the permit back when
 // the answer is there.
 //
-// The keeper holds the one queue: the more urgent rule first, then what can still be
-// answered within its aim, then by deadline. What cannot be served in time is refused at
-// once, with the time after which there should be room.
+// The keeper holds the one queue: what can still be answered within its aim first, then by
+// arrival, where each rank of urgency goes before the next by the time of a request. What
+// cannot be served in time is refused at once, with the time after which there should be room.
 //
 // Permits are a matter of load, not of safety. When a keeper is lost its instances send a
 // little without one; when two instances take themselves for the keeper of a target for a
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -226,7 +226,7 @@
 	if w.ask.NoQueue {
 		return Permit{}, false, &RefusedError{Reason: ReasonBusy, RetryAfter: max(wait, time.Millisecond)}
 	}
-	if room := now.Add(wait + w.took); room > w.worthUntil() {
+	if now.Add(wait) > w.worthUntil() {
 		return Permit{}, false, &RefusedError{Reason: ReasonFull, RetryAfter: max(leastRetryAfter, wait)}
 	}
 	p.waiting = append(p.waiting, w)
@@ -239,10 +239,11 @@
 	return slices.ContainsFunc(p.order, func(s *slot) bool { return !slices.Contains(w.ask.Exclude, s.Target) })
 }
 
-// worthUntil is when the answer must be there for the request to be queued. While there is
-// more work than slots, each request that is served late keeps a later one from being
-// served in time, so that in the end all are late; so only those that can still be in time
-// are queued. A request that has been refused before is let in up to its deadline.
+// worthUntil is until when a request must have a slot to be queued. While there is more work than slots,
+// each request that is served late keeps a later one from being served in time, so that in the end all are
+// late; so only those are queued that may still be in time. How long requests take varies so much that one
+// that gets its slot within its aim often is. A request that has been refused before is let in up to its
+// deadline.
 func (w *waiter) worthUntil() clock.Instant {
 	if w.ask.Returning || w.aim <= w.arrived {
 		return w.deadline
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -128,16 +128,20 @@
 	err    error
 }
 
-// before orders the queue: by priority, then those that can still be answered within their
-// aim, then by deadline.
+// before orders the queue: those that can still be answered within their aim first, and then by their
+// turn. With rank before all else the less urgent half of the requests for a few slots waits for all of the
+// other half, and is late at loads at which both would mostly be in time.
 func (w *waiter) before(v *waiter, now clock.Instant) bool {
-	if w.ask.Priority != v.ask.Priority {
-		return w.ask.Priority < v.ask.Priority
-	}
 	if a, b := w.inTime(now), v.inTime(now); a != b {
 		return a
 	}
-	return w.arrived < v.arrived
+	return w.turn() < v.turn()
+}
+
+// turn is when the request comes up among those that are in time: each rank waits for the time of a request
+// longer than the one above it.
+func (w *waiter) turn() clock.Instant {
+	return w.arrived.Add(time.Duration(w.ask.Priority) * w.expected)
 }
 
 // inTime reports whether the request would be answered within its aim if it were sent now.
