Refuse requests for keys whose owner answers nothing, in place of having them wait for the move

Callers saw: for ten seconds after all processes had been killed at once, a fifth of the requests for keys were held for 1.5 s and then refused as "moving", or until their time was over.

Cause: an owner that has left the registry is taken for one that can still be asked to give its keys up, and callers wait for that. Where it then answers no order the keys move only when its hold has surely run out, up to 10 s later, but nobody said so. Ruled out: slow orders; no order was answered between second 31 and 41.

Change: when the owner of keys on their way has failed to answer for the time after which an owner counts as lost, the map says so, and requests are refused at once with the time to come back. Who owns what, and when, is unchanged.

The test fails without it.

--- /dev/null
+++ b/coordination/assign/lose_test.go
@@ -0,0 +1,52 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/coordination/view"
+)
+
+var _ = ginkgo.Describe("keys whose owner left the registry and answers nothing", func() {
+	lost := func(m *keyrange.Map) (keys int) {
+		for _, r := range m.Ranges {
+			if r.Lost {
+				keys += r.Keys()
+			}
+		}
+		return keys
+	}
+
+	ginkgo.It("are said to be lost until its hold has run out (guards against callers that wait for them)", func() {
+		m := NewManager(config, nil, start)
+		m.SetLoad(evenLoad(6), nil)
+		a, b := target("a"), target("b")
+		now := settle(m, start, []view.Target{a, b})
+		had := owners(m.Map())["a"]
+		// away drives the manager while a answers nothing.
+		away := func(length time.Duration) {
+			for end := now.Add(length); now < end; {
+				now = now.Add(25 * time.Millisecond)
+				m.SetTargets(now, []view.Target{b})
+				for _, o := range m.Tick(now, false) {
+					outcome := Done
+					if o.Target == "a" {
+						outcome = NotSent
+					}
+					m.Finished(now, o, outcome, "h")
+				}
+				if p := m.Propose(now); p != nil {
+					m.Stored(p)
+				}
+			}
+		}
+		away(lostAfter + retryAfter + time.Second)
+		Expect(lost(m.Map())).To(Equal(had))
+		away(config.HoldMax)
+		Expect(lost(m.Map())).To(BeZero())
+		Expect(owners(m.Map())["b"]).To(Equal(keyrange.MaxKey + 1))
+	})
+})
--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -23,6 +23,7 @@
 		case r.Moving():
 			moving++
 			m.conclude(e, now, r)
+			m.lose(e, now, r)
 		case m.refusedRenewal(r):
 			e.Move(r.From, r.To, r.Owner, false)
 		case m.holder(r.Owner).answersStill():
@@ -113,6 +114,15 @@
 	m.moves[piece{r.From, r.To, e.Version()}] = &move{released: true, handover: mv.handover, retryAt: clock.Never, begun: mv.begun}
 }
 
+// lose tells of a range whose owner answers no order to give it up, so that requests for it are refused
+// instead of waiting: its keys are served again only when its hold has surely run out.
+func (m *Manager) lose(e *keyrange.Editor, now clock.Instant, r keyrange.Range) {
+	if r.Lost || r.Owner == "" || m.move(now, r).released || !m.holder(r.Owner).lost(now) {
+		return
+	}
+	e.Lose(r.From, r.To)
+}
+
 // offerAnew offers a range to the same next owner under a higher fence.
 func (m *Manager) offerAnew(e *keyrange.Editor, r keyrange.Range, mv *move) {
 	e.Move(r.From, r.To, r.Next, r.Lost)
--- a/coordination/keyrange/map.go
+++ b/coordination/keyrange/map.go
@@ -84,6 +84,12 @@
 	})
 }
 
+// Lose notes that the owner of the keys from..to, which are on their way to another, cannot be asked to give
+// them up after all.
+func (e *Editor) Lose(from, to uint16) {
+	e.update(from, to, func(r *Range) { r.Lost = true })
+}
+
 // Finish makes the next owner of the keys from..to their owner.
 func (e *Editor) Finish(from, to uint16) {
 	e.update(from, to, func(r *Range) {
