Do not take targets back from an instance that only keeps them, where it is known that they are gone

Cause, by reading, and by which instances sent: a relay that had been cut off reads the registry again, keeps what is missing for two seconds as after an outage, and tells it to the instances below, whose knowledge is better and a little older. Ruled out: the two instances that sent were not cut off themselves; the order of versions was right.

Change: whoever tells a list says which of it is only kept, and as of which version of the store it was listed last. Who has read or been told since then prefers what it knows.

Tests: a board and two coordinators; both would believe the target again without the change.

--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -256,7 +256,7 @@
 	for _, id := range reply.TargetsGone {
 		delete(list, id)
 	}
-	return c.board.AdoptTargets(reply.TargetsRead, list, at)
+	return c.board.AdoptTargets(reply.TargetsRead, list, reply.TargetsKept, at)
 }
 
 // adoptInstances takes over the list of instances, where the answer has a newer one.
--- a/coordination/lead/lead_test.go
+++ b/coordination/lead/lead_test.go
@@ -119,6 +119,21 @@
 		Expect(follower.board.Load().TargetsDigest).To(Equal(leader.board.Load().TargetsDigest))
 	})
 
+	// Symptom: requests reach a target 11 s after it has left. Sequence: a relay is cut off while the target
+	// leaves; the cut heals, and the relay reads that the registry lacks the target, which it keeps for a
+	// while; it tells the others. Cause: they took that for news, since it had read later than they.
+	It("is not a target that a relay only keeps, where the follower has known better", func() {
+		read(1, "x", "y")
+		tell(leader, follower)
+		now := clock.System{}.Now()
+		follower.board.AdoptTargets(5, targets("y"), view.Kept{}, now)
+		leader.board.SetTargets(9, targets("y"), now.Add(10*time.Second))
+		Expect(leader.board.Load().Targets).To(HaveKey("x"))
+		tell(leader, follower)
+		Expect(follower.board.Load().Targets).NotTo(HaveKey("x"))
+		Expect(follower.board.Load().Targets).To(HaveKey("y"))
+	})
+
 	It("is which instances came and went", func() {
 		instances := func(count uint64, ids ...string) {
 			var list []view.Instance
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -77,8 +77,8 @@
 	// targetsAt and rulesAt are when the registry and the configuration were current.
 	targetsAt clock.Instant
 	rulesAt   clock.Instant
-	// keeping says that targets are believed which the last reading lacked.
-	keeping bool
+	// kept are the targets that are believed though the last reading lacked them.
+	kept Kept
 	// steadySince is since when the registry has been read without interruption.
 	steadySince clock.Instant
 }
@@ -150,26 +150,51 @@
 	if version < b.targetsRead {
 		return nil, nil
 	}
+	before := b.targetsRead
 	b.targetsRead = version
 	b.readAt(at)
-	return b.replaceTargets(b.believe(b.current.Load().Targets, list))
+	return b.replaceTargets(b.believe(before, b.current.Load().Targets, list))
 }
 
 // AdoptTargets adopts what the leading instance believes, as of the version of the store that
 // it has read. Unlike a reading of the registry after an interruption it says which targets
 // are gone: whoever told it has read all the while, or keeps what may only have lapsed. It
-// reports whether the list was taken; one that is older than what was read here is not.
-func (b *Board) AdoptTargets(version uint64, list map[string]Target, at clock.Instant) bool {
+// reports whether the list was taken as a whole; one that is older than what was read here is not.
+//
+// What the teller only keeps is not taken where this instance has read, or been told, since it was listed
+// for the last time: it would have known of it.
+func (b *Board) AdoptTargets(version uint64, list map[string]Target, kept Kept, at clock.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version < b.targetsRead {
 		return false
 	}
+	old := b.current.Load().Targets
+	believed := b.sinceWhen(old, list)
+	whole := true
+	if b.targetsRead > kept.AsOf {
+		whole = preferOwn(believed, old, kept.IDs)
+	}
 	b.targetsRead = version
-	b.keeping = false
+	b.kept = kept
 	b.readAt(at)
-	b.replaceTargets(b.sinceWhen(b.current.Load().Targets, list))
-	return true
+	b.replaceTargets(believed)
+	return whole
+}
+
+// preferOwn has a list say of some targets what the own one says, and reports whether all of them stay in it.
+func preferOwn(list, own map[string]Target, ids []string) bool {
+	whole := true
+	for _, id := range ids {
+		t, known := own[id]
+		if known {
+			list[id] = t
+			continue
+		}
+		delete(list, id)
+		whole = false
+	}
+	return whole
 }
 
 // replaceTargets publishes believed targets if they have changed. The caller holds the lock.
@@ -218,29 +243,45 @@
 	return b.targetsRead
 }
 
-// believe adds to a reading what it may lack only because the store was away.
-func (b *Board) believe(old, list map[string]Target) map[string]Target {
+// Kept are targets that are believed though the registry does not list them: their entries may have lapsed.
+type Kept struct {
+	IDs []string
+	// AsOf is the version of the store as of which they were listed for the last time, as far as whoever
+	// keeps them knows.
+	AsOf uint64
+}
+
+// believe adds to a reading what it may lack only because the store was away. Before is the version of the
+// reading before it.
+func (b *Board) believe(before uint64, old, list map[string]Target) map[string]Target {
 	believed := b.sinceWhen(old, list)
 	settled := b.targetsAt.Sub(b.steadySince) >= goneAfter
-	b.keeping = false
+	kept := Kept{AsOf: before}
+	if len(b.kept.IDs) > 0 {
+		kept.AsOf = b.kept.AsOf
+	}
 	for id, t := range old {
 		if _, listed := list[id]; listed || settled || replaced(old, list, t) {
 			continue
 		}
 		believed[id] = t
-		b.keeping = true
+		kept.IDs = append(kept.IDs, id)
 	}
+	b.kept = kept
 	return believed
 }
 
-// Keeping reports whether targets are believed that the last reading of the registry here did
-// not list, since they may have lapsed only.
-func (b *Board) Keeping() bool {
+// Kept returns the targets that are believed though the last reading of the registry did not list them,
+// since they may have lapsed only.
+func (b *Board) Kept() Kept {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.keeping
+	return b.kept
 }
 
+// Keeping reports whether there are any.
+func (b *Board) Keeping() bool { return len(b.Kept().IDs) > 0 }
+
 // sinceWhen returns a copy of a list with the times since when targets have been draining, and
 // until when they are cold.
 func (b *Board) sinceWhen(old, list map[string]Target) map[string]Target {
--- a/coordination/view/board_test.go
+++ b/coordination/view/board_test.go
@@ -96,13 +96,43 @@
 			read(at, "x", "y")
 		}
 		c.now = clock.Instant(13 * time.Second)
-		Expect(b.AdoptTargets(uint64(c.now), listing("y"), c.now)).To(BeTrue())
+		Expect(b.AdoptTargets(uint64(c.now), listing("y"), Kept{}, c.now)).To(BeTrue())
 		Expect(believed("x")).To(BeFalse())
 	})
 
+	// Symptom: requests reach a target 11 s after it has left. Sequence: an instance is cut off while the
+	// target leaves; the cut heals, and the instance reads the registry, which lacks the target, and keeps
+	// it, as after an outage. Others take that from it, since it has read later than they.
+	It("does not take back what another instance only keeps, where it has read since that was listed", func() {
+		read(time.Second, "x", "y")
+		read(2*time.Second, "y")
+		for at := 2400 * time.Millisecond; at <= 6*time.Second; at += 400 * time.Millisecond {
+			read(at, "y")
+		}
+		kept := Kept{IDs: []string{"x"}, AsOf: uint64(time.Second)}
+		Expect(b.AdoptTargets(uint64(7*time.Second), listing("x", "y"), kept, c.now)).To(BeFalse())
+		Expect(believed("x")).To(BeFalse())
+		Expect(believed("y")).To(BeTrue())
+	})
+
+	It("takes what another instance keeps where it has not read since", func() {
+		read(time.Second, "y")
+		kept := Kept{IDs: []string{"x"}, AsOf: uint64(2 * time.Second)}
+		b.AdoptTargets(uint64(7*time.Second), listing("x", "y"), kept, c.now)
+		Expect(believed("x")).To(BeTrue())
+		Expect(b.Kept()).To(Equal(kept))
+	})
+
+	It("tells as of when what it keeps was listed", func() {
+		read(time.Second, "x", "y")
+		read(4*time.Second, "y")
+		read(4400*time.Millisecond, "y")
+		Expect(b.Kept()).To(Equal(Kept{IDs: []string{"x"}, AsOf: uint64(time.Second)}))
+	})
+
 	It("does not take an older list of the leading instance's", func() {
 		read(4*time.Second, "x", "y")
-		Expect(b.AdoptTargets(1, listing("y"), clock.Instant(5*time.Second))).To(BeFalse())
+		Expect(b.AdoptTargets(1, listing("y"), Kept{}, clock.Instant(5*time.Second))).To(BeFalse())
 		Expect(believed("x")).To(BeTrue())
 	})
 
--- a/coordination/view/evacuation_test.go
+++ b/coordination/view/evacuation_test.go
@@ -78,7 +78,7 @@
 		other := &handClock{now: clock.Instant(time.Minute)}
 		board := NewBoard(other)
 		told := b.Load().Targets["x"].Told(c.now.Add(time.Second))
-		board.AdoptTargets(1, map[string]Target{"x": told}, other.now)
+		board.AdoptTargets(1, map[string]Target{"x": told}, Kept{}, other.now)
 		Expect(board.Load().Targets["x"].ColdUntil).To(Equal(other.now.Add(2 * time.Second)))
 		Expect(board.Load().TargetsDigest).To(Equal(b.Load().TargetsDigest))
 	})
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -124,6 +124,8 @@
 	Targets      []view.Target
 	TargetsGone  []string
 	TargetsWhole bool
+	// TargetsKept are those that the sender believes though the registry does not list them.
+	TargetsKept view.Kept
 	// Whole tells a sender that knows nothing all targets, maps and instances, compressed, in place of
 	// the fields for them.
 	Whole []byte
