--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -191,8 +191,7 @@
 	// the number of targets. Requests for them wait until the running ones have ended.
 	leastMoves = 8
 	// movesPart is the part of the targets that may give keys away at a time. Load that has
-	// moved is evened out in a few steps, whatever the number of targets; with a fixed number
-	// of moves it took 14 s for 220 of them.
+	// moved is evened out in a few steps, whatever the number of targets.
 	movesPart = 4
 	// maxRanges bounds the ranges of a map, which is one row of at most 64 KiB; a range takes
 	// about 10 bytes, and its owner's name 15.
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -39,7 +39,7 @@
 	retryAfter = 250 * time.Millisecond
 	// anewEvery is the least time between new fences for a target that may have been started
 	// again. One that resets each connection at once would have a change of the map stored with
-	// each try: 15 in 0.2 s were seen.
+	// each try.
 	anewEvery = 500 * time.Millisecond
 	// balanceSoonest and balanceLatest bound the time between looks at the balance, which is
 	// balanceEach for each target that takes keys. Looking twice as often is worth 0.003 to 0.011
--- a/coordination/keyrange/spread.go
+++ b/coordination/keyrange/spread.go
@@ -7,9 +7,8 @@
 
 // leastPiece is the least work, as a part of what a target can do, for which a range is cut when
 // its keys are given on.
-// Each piece is renewed by itself and stands in the map by itself: with every range of a
-// leaving target cut in four, a day on which half of 450 targets were replaced ended with
-// 2,500 ranges, a map too large for its row.
+// Each piece is renewed by itself and stands in the map by itself; with every range of a leaving target cut,
+// a rolling replacement would end with a map too large for its row.
 const leastPiece = 0.4
 
 // Spread gives the keys of pieces, whose owners are gone or leave, to targets: the heaviest
--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -14,7 +14,7 @@
 
 const (
 	// commitEach is the least time between changes of the map for each target, so that moves
-	// that end in quick succession are stored together: 3 ms with 36 targets, 45 ms with 450.
+	// that end in quick succession are stored together.
 	commitEach = 100 * time.Microsecond
 	// commitRetryAfter is the pause after a change could not be stored.
 	commitRetryAfter = 60 * time.Millisecond
@@ -196,8 +196,7 @@
 
 // extendBeforeLeaving gives all targets the longest hold if the store does not answer: nobody can
 // take the lease then, and the keys of all targets would be unserved when their holds have run
-// out. With the store dark for 8 s and the leading instance stopped a second later, keys were
-// unserved for 4 s.
+// out.
 func (t *term) extendBeforeLeaving(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, askBeforeLeaving)
 	defer cancel()
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -59,9 +59,8 @@
 // awaitNextLook waits until it is time to look at the lease again, or a relay has told what is
 // current. err is that of the last look.
 //
-// While the store answers nobody the pause grows to 2 s, since calls of 90 instances are paid for.
-// One that slept through it heard of what had changed up to 3.2 s after the store was back, though
-// a relay knew it after some tenths of a second.
+// While the store answers nobody the pause grows, since the calls of all instances are paid for. One that
+// slept through it would hear seconds after the store is back of what a relay knows at once.
 func (c *Coordinator) awaitNextLook(ctx context.Context, pause time.Duration, err error) {
 	until := c.clock.Now().Add(pause)
 	for ctx.Err() == nil {
--- a/coordination/lead/handover.go
+++ b/coordination/lead/handover.go
@@ -13,8 +13,7 @@
 // that may be a small one: it answers the reports of all others and renews all grants with a sixth
 // of a core over a link of 10 Mbit/s. What its followers know then grows too old, so that all of
 // them read the store, reports are not answered in time, and a change of the configuration is known
-// seconds late. With 89 instances 0.58 to 0.62 of the worth of such a day was earned, and 0.74 to
-// 0.76 where a large instance happened to be the first.
+// seconds late.
 //
 // So it leads until a much larger one reports, and then gives the lease up for it.
 const (
--- a/coordination/lead/outage.go
+++ b/coordination/lead/outage.go
@@ -12,9 +12,8 @@
 // outage lasts while the store does not answer this instance.
 //
 // A call that was sent while the store was silent is never answered, and a pause that has grown
-// goes on when the store is back. Each call had only its own time limit, so that a version that the
-// store had just acknowledged was read 1.6 s later, though the same instance had taken the lease
-// meanwhile. Whatever waits is begun anew when the first call is answered.
+// goes on when the store is back: with its own time limit alone a call would delay what the store has
+// acknowledged since. Whatever waits is begun anew when the first call is answered.
 type outage struct {
 	// over is done when the store is back.
 	over context.Context
--- a/coordination/lead/poll.go
+++ b/coordination/lead/poll.go
@@ -12,7 +12,7 @@
 
 // reads reports whether this instance has to read the store itself. The leading one does, and relays
 // while nobody leads. Another one whose knowledge is old asks relays first, and reads if that does not
-// help and the store answers, or may do so again: each refused call of 90 instances is paid for.
+// help and the store answers, or may do so again: refused calls are paid for too.
 func (c *Coordinator) reads(ctx context.Context) bool {
 	relay := c.isRelay()
 	now := c.clock.Now()
@@ -70,9 +70,9 @@
 }
 
 // refreshed asks relays when what this instance knows has become old, and reports whether that has
-// helped. They read by themselves a little earlier. When the leading instance was turned away by the
-// store, each of 295 instances read the whole configuration and registry after 1.2 s, three calls and
-// 300 KB apiece, and again until another one led: most of 9,950 calls of a day.
+// helped. They read by themselves a little earlier. Without them all instances would read the whole
+// configuration and registry while a leading instance is turned away by the store, and again until another
+// one leads.
 func (c *Coordinator) refreshed(ctx context.Context) bool {
 	relays := c.relays()
 	if len(relays) == 0 {
@@ -128,7 +128,7 @@
 	// wait is how long a reading may wait for a change. The first one and one after a change do
 	// not wait, so that they tell soon that there is none: when a change ended a feed is not
 	// known, and what it brought counts as known since that began. With the next feed's wait
-	// knowledge was 1.2 s old, from which on all followers read the store themselves.
+	// knowledge would be so old that all followers read the store themselves.
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if !c.reads(ctx) {
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -71,9 +71,8 @@
 // readRules brings the configuration up to date, and waits for a change for at most wait. It
 // reports whether there was one.
 //
-// It goes on from what the instance knows, whoever read that. An instance that began with the
-// whole table read and decoded what it had been told a moment ago: with 61 instances each change
-// of a large configuration was read 60 times, by the slowest when they had no time for it.
+// It goes on from what the instance knows, whoever read that: one that began with the whole table would read
+// and decode again what it has just been told, when it has least time for it.
 func (r *reader) readRules(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	begun := r.clock.Now()
 	after := r.board.RulesRead()
--- a/coordination/lead/relay.go
+++ b/coordination/lead/relay.go
@@ -16,8 +16,7 @@
 )
 
 // While nobody leads, a few instances, the relays, read the store and look at the lease, and
-// the others ask them. With 87 instances that each read by themselves a leader that was lost
-// or a store that was away cost up to 250 calls a second, each of which is paid for.
+// the others ask them: each call is paid for, and all instances would make them at the same time.
 //
 // Relays decide nothing: what they tell carries its age, and an instance to which none of
 // them answers with something current looks for itself.
@@ -51,7 +50,7 @@
 }
 
 // duties returns who has which duty. They are ranked anew when the list of instances has changed, or a
-// leader was lost: it is asked 25 times a second, and ranking 295 instances takes some 0.1 ms.
+// leader was lost: they are asked for many times a second.
 func (c *Coordinator) duties() duties {
 	s := c.board.Load()
 	c.mu.Lock()
@@ -123,7 +122,7 @@
 	relays := c.relays()
 	if len(relays) == 0 || slices.Contains(relays, c.config.Self.Address) || c.board.KnownAt() == clock.Never {
 		// One that has just started reads for itself: after a loss of power the seeds may be
-		// the last to be back, and waiting for them cost callers up to 0.8 s.
+		// the last to be back, and callers would wait for them.
 		return false
 	}
 	first := int(xxhash.Sum64String(c.config.Self.ID) % uint64(len(relays)))
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -9,8 +9,7 @@
 )
 
 // gatherEach is how long an answer with news is held back for each report that is held here, so that
-// news which come in quick succession go out together. With 90 of them a move is told 27 ms
-// later, and its leading instance answers 40 reports a second of each instead of 80.
+// news which come in quick succession go out together.
 const gatherEach = 300 * time.Microsecond
 
 // Sync answers a report of another instance, as soon as there is something new for it.
--- a/coordination/lead/start.go
+++ b/coordination/lead/start.go
@@ -13,13 +13,11 @@
 )
 
 // Where no instance has ever led no caller is served yet. If each instance then read the
-// configuration and the registry by itself and bid for the lease, 295 of them would make 1,800 calls,
-// each of which is paid for, and the store would send each of them some 300 KB. So all but the seeds
-// wait for a seed to tell them.
+// configuration and the registry by itself and bid for the lease, each would make several calls, which are
+// paid for, and be sent the whole of both. So all but the seeds wait for a seed to tell them.
 //
-// At any later start callers wait, and whoever starts reads at once. Waiting 0.6 s for the holder of
-// the lease, which may start later than the others after a loss of power, refused 247 requests of 1,300
-// in those seconds, waiting 0.15 s refused 89, and reading at once 10.
+// At any later start callers wait, and whoever starts reads at once: the holder of the lease may start later
+// than the others after a loss of power, and requests that come meanwhile are refused.
 const (
 	// firstPatience is how long after its first start an instance leaves the reading to the seeds. They
 	// may start 0.3 s after the others, and then read and tell all of them.
--- a/coordination/lead/told.go
+++ b/coordination/lead/told.go
@@ -15,14 +15,13 @@
 const toldVersions = 64
 
 // ownVersions is how many versions an instance of a large fleet remembers that answers no others. It may
-// lead next, and then answers a few relays, which are a change or two behind. With 720 targets 64 versions
-// of the map and of the targets take 12 MB, of 45 that a small instance had in memory.
+// lead next, and then answers a few relays, which are a change or two behind. The memory that versions take
+// grows with the number of targets.
 const ownVersions = 4
 
 // told remembers what was believed, so that others are told only what has changed since. A
 // follower remembers too: when it comes to lead, the others know what it knew.
-// Telling 90 instances each map and list of 450 targets as a whole took 0.33 GB between data
-// centres in half a minute. Its lock is a leaf.
+// Its lock is a leaf.
 type told struct {
 	mu    sync.Mutex
 	lists []toldTargets
@@ -105,9 +104,8 @@
 	}
 }
 
-// membership puts into a reply what has changed among the instances since a version. With
-// 300 instances a whole list for each of them at each start of one was most of what a leading
-// instance sent.
+// membership puts into a reply what has changed among the instances since a version. Whole lists
+// for all at each start of one would grow with the square of their number.
 func (t *told) membership(reply *peerapi.SyncReply, since view.InstancesVersion, s *view.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/coordination/lead/tree.go
+++ b/coordination/lead/tree.go
@@ -17,8 +17,8 @@
 // tree, and these answer the others of theirs. A relay passes on who has reported to it and what
 // arrived for which key, and tells what it has been told, with its age.
 //
-// Without it one instance answers all: at 301 instances it used 0.8 of a core and sent 5.9 MB a second,
-// most of it between data centres, and both grew with the number of instances.
+// Without it one instance answers all, with processor time and bytes between data centres that grow with the
+// number of instances.
 //
 // Relays decide nothing. An instance whose relay is silent, or does not hear from the leading instance
 // itself, asks the next relay of its data centre, and then the leading instance.
--- a/coordination/lead/whole.go
+++ b/coordination/lead/whole.go
@@ -30,10 +30,8 @@
 // 4,000 instances are 2 MB.
 const mostEverything = 16 << 20
 
-// wholeTold keeps what was last told to instances that knew nothing. They come by the hundred: encoding
-// 720 targets, their ranges and 295 instances for each of them took 3 ms and 120 KB apiece, so that the
-// last of 100 was told 0.3 s of a core, or 4.8 s of a link of 20 Mbit/s, after the first. The
-// lock of told guards it.
+// wholeTold keeps what was last told to instances that knew nothing. They come by the hundred, and encoding
+// everything for each of them would have the last one wait for all others. The lock of told guards it.
 type wholeTold struct {
 	digest    uint64
 	instances view.InstancesVersion
--- a/coordination/permit/groups.go
+++ b/coordination/permit/groups.go
@@ -18,8 +18,7 @@
 	// better for few targets: its slots are all found from anywhere.
 	groupAbove = 16
 	// groupSize is the number of targets for which a data centre gets one more group. A keeper
-	// handles two messages for each request; 74 targets made 1,600 a second, which an instance
-	// with a sixth of a core cannot answer in time.
+	// handles two messages for each request, and may have a sixth of a core.
 	groupSize = 10
 	// groupTries is the number of groups that are asked for a free slot before a request is
 	// queued at one of them.
--- a/coordination/permit/home.go
+++ b/coordination/permit/home.go
@@ -11,9 +11,7 @@
 	// and a little for the bytes between data centres, which are paid for.
 	abroad = 10 * time.Millisecond
 	// abroadEachKB is what each KB of the answer adds to that. An answer of 90 KB counts 0.37 s:
-	// it comes from another data centre only where it would be late at home. With the way alone,
-	// bytes between data centres cost 0.024 of what answers were worth; with this, all that is
-	// paid for fell by 0.006 to 0.020 of it on six days.
+	// it comes from another data centre only where it would be late at home.
 	abroadEachKB = 4 * time.Millisecond
 	// leastWaitAtHome is the cost of going abroad from which on a request waits for a slot at home
 	// though there is a free one abroad. Below, the wait is what matters.
--- a/coordination/permit/keeper.go
+++ b/coordination/permit/keeper.go
@@ -54,9 +54,8 @@
 	return &Keeper{clock: c, slots: slots, busy: make(chan struct{}, 1), pools: map[PoolID]*keptPool{}}
 }
 
-// Run looks after the queues until ctx ends. While no slot is in use it sleeps: with a look
-// every 20 ms at nothing, by its two keepers, an idle instance used 43 ms of processor time a second,
-// beside the stand-ins in its process, and 28 without.
+// Run looks after the queues until ctx ends. While no slot is in use it sleeps: looks at nothing
+// are most of what an idle instance would do.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(serveEvery)
 	defer ticker.Stop()
--- a/coordination/permit/keepers.go
+++ b/coordination/permit/keepers.go
@@ -12,8 +12,7 @@
 	// talk to, and the loss of one concerns few requests.
 	allKeep = 32
 	// keeperShare is the part of a data centre's processors that the instances have which keep its
-	// pools. Two messages a request take 0.1 to 0.2 ms of a core, some 1.5 % of the processors of a
-	// fleet that serves 20 requests a second with each sixth of a core; a fifth of them bears that.
+	// pools: it bears two messages for each request of all.
 	keeperShare = 0.2
 	// leastKeepers leaves two where one is lost.
 	leastKeepers = 3
@@ -24,9 +23,8 @@
 // Keepers returns the instances that keep pools: in a large fleet the largest of each data centre, as
 // many as have a fifth of its processors.
 //
-// Where all of them keep pools, every instance has a connection to every other one, and one from it:
-// 588 at 295 instances. Each end takes 33 KB of heap and stacks, 20 MB in all, and that grows with the
-// number of instances. Everyone who knows the same instances finds the same keepers.
+// Where all of them keep pools, every instance has a connection to every other one, and one from it, whose
+// memory grows with the number of instances. Everyone who knows the same instances finds the same keepers.
 func Keepers(list []view.Instance) []view.Instance {
 	if len(list) <= allKeep {
 		return list
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -248,8 +248,7 @@
 	// waitReserve is kept of the grace when the requests that wait are refused, workReserve
 	// when those that targets work on are answered, stopReserve for closing. Targets may be
 	// at work until the last sixth of the grace. On a busy machine with a third of a core closing
-	// takes some tenths of a second: with 150 ms for it two processes of eleven were still there
-	// when their grace of 6 s was over.
+	// takes some tenths of a second.
 	waitReserve = 950 * time.Millisecond
 	workReserve = 550 * time.Millisecond
 	stopReserve = 300 * time.Millisecond
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -29,9 +29,8 @@
 	// settleTime is how long a new connection is watched before a request is sent on it, beside
 	// the time that its making took. A target that has as many connections as it accepts, or
 	// whose queue is long, accepts one more and resets it at once. A request that was written
-	// meanwhile has an unknown outcome; one that was not can be sent to another target. After
-	// all instances had lost power 1,100 of 9,000 requests were lost to such resets, while
-	// the targets still counted the connections of the former processes.
+	// meanwhile has an unknown outcome; one that was not can be sent to another target. After all
+	// instances have lost power targets still count the connections of the former processes.
 	settleTime = 2 * time.Millisecond
 	// idleDefault is how long an unused connection is kept when the target does not say.
 	idleDefault = 4 * time.Second
