Look again whether a target has ended where its address resets connections at first

Cause, traced by lines of each try that broke off: the end of a process shows on its connection first; for some milliseconds its address still accepts a connection and resets it. That was taken for a target that lives, so the crash was not counted, and the request not quarantined in time.

Change: up to three looks, 20 ms apart, within the limit of before. A connection that stays, or three resets, still mean that the target lives.

--- a/transport/upstream/ended_test.go
+++ b/transport/upstream/ended_test.go
@@ -22,6 +22,26 @@
 		Expect(err).To(MatchError(ErrEnded))
 	})
 
+	It("tells so where its address resets connections for a moment before it refuses them (guards against an end that is not noticed on a busy machine)", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			for n := 0; ; n++ {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if n == 0 {
+					_, _ = conn.Read(make([]byte, 1))
+					time.AfterFunc(refusedPause/2, func() { l.Close() })
+				}
+				reset(conn)
+			}
+		}()
+		_, err = newClient().Do(within(time.Second), Target{ID: "t1", Name: "t1", Address: l.Addr().String()}, get("1"))
+		Expect(err).To(MatchError(ErrEnded))
+	})
+
 	DescribeTable("does not tell so of a target that lives", func(answer script) {
 		t := startTarget(answer)
 		_, err := newClient().Do(within(time.Second), t.Target, get("1"))
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -26,6 +26,9 @@
 	// refusedWithin bounds the connection that shows whether a target has ended. Who waits for it is
 	// a caller whose request broke off, and whom a repeat may still serve.
 	refusedWithin = 100 * time.Millisecond
+	// refusedLooks bounds the connections that are made for that, refusedPause is the time between two.
+	refusedLooks = 3
+	refusedPause = 20 * time.Millisecond
 	// settleTime is how long a new connection is watched before a request is sent on it, beside
 	// the time that its making took. A target that has as many connections as it accepts, or
 	// whose queue is long, accepts one more and resets it at once. A request that was written
@@ -137,15 +140,28 @@
 // made is kept for the next request.
 //
 // A connection that breaks with a request on it may have been reset on the way, or by a target that
-// is full. Only a target that has ended refuses the next one as well.
+// is full. Only a target that has ended refuses the next one as well. While its process is being taken down
+// its address may still accept connections and reset them, so it is looked at again.
 func (p *Pool) refuses(ctx context.Context, t Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusedWithin)
 	defer cancel()
-	conn, err := p.dial(ctx, t.ID, t.Address, t.Connections)
-	if err == nil {
-		p.keep(t.ID, conn, "")
+	for look := 1; ; look++ {
+		conn, err := p.dial(ctx, t.ID, t.Address, t.Connections)
+		switch {
+		case err == nil:
+			p.keep(t.ID, conn, "")
+			return false
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case look == refusedLooks:
+			return false
+		}
+		select {
+		case <-time.After(refusedPause):
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // settled watches a new connection for a while, and closes it if it does not stay open and
