--- a/coordination/permit/pace.go
+++ b/coordination/permit/pace.go
@@ -40,9 +40,7 @@
 	p.word, p.wordAt = slowness, now
 }
 
-// measured notes how long a request took, relative to the mean.
-func (p *pace) measured(ratio float64, now clock.Instant) { p.learn(ratio, now) }
-
+// learn takes a slowness that was told, or measured as how long a request took relative to the mean.
 func (p *pace) learn(slowness float64, now clock.Instant) {
 	if p.measuredAt == clock.Never {
 		p.slowness = (1 + slowness) / 2
--- a/coordination/permit/play_test.go
+++ b/coordination/permit/play_test.go
@@ -58,93 +58,125 @@
 
 // run plays and returns the share of each rule's requests that was answered within its aim.
 func (p play) run(seed uint64) map[string]float64 {
-	random := rand.New(rand.NewPCG(seed, seed))
-	f := newFixture(p.slots...)
-	asked, good := map[string]int{}, map[string]int{}
-	slow := map[string]float64{}
-	var waiting, running, away []*request
-	answered := func(r *request, pm Permit) {
-		r.permit = pm
-		r.took = time.Duration(float64(r.work) * slow[pm.Target])
-		r.at = f.now.Add(r.took)
-		running = append(running, r)
-	}
-	refused := func(r *request, err error) {
-		var full *RefusedError
-		if !errors.As(err, &full) || r.tries >= comesBack || f.now.Add(full.RetryAfter) > r.first.Add(r.kind.patience) {
-			return
-		}
-		r.tries++
-		r.at = f.now.Add(full.RetryAfter)
-		away = append(away, r)
-	}
-	ask := func(r *request) {
-		var pm Permit
-		var err error
-		r.waiter, pm, err = f.ask(func(a *Ask) {
-			a.Rule, a.Priority, a.DataCentre = r.kind.rule, r.kind.rank, "dc1"
-			a.AimLeft, a.Left = r.first.Add(r.kind.aim).Sub(f.now), r.first.Add(r.kind.patience).Sub(f.now)
-			a.Returning = r.tries > 0
-		})
-		switch {
-		case err != nil:
-			refused(r, err)
-		case pm.Target != "":
-			answered(r, pm)
-		default:
-			waiting = append(waiting, r)
-		}
+	r := &runner{
+		play: p, fixture: newFixture(p.slots...), random: rand.New(rand.NewPCG(seed, seed)),
+		slow: map[string]float64{}, asked: map[string]int{}, good: map[string]int{},
 	}
 	next := start
-	for f.now = start; f.now < start.Add(time.Duration(p.seconds)*time.Second); f.now = f.now.Add(playStep) {
-		if f.now.Sub(start)%disturbedEvery == 0 {
-			for _, s := range p.slots {
-				slow[s.Target] = 1
-				if random.Float64() < disturbedShare {
-					slow[s.Target] = disturbedBy
-				}
-			}
+	for r.now = start; r.now < start.Add(time.Duration(p.seconds)*time.Second); r.now = r.now.Add(playStep) {
+		if r.now.Sub(start)%disturbedEvery == 0 {
+			r.disturb()
 		}
-		running = due(running, f.now, func(r *request) {
-			report := Report{ID: r.permit.ID, Target: r.permit.Target, Rule: r.kind.rule, Result: Served, Took: r.took}
-			if p.tells {
-				report.Slowness = slow[r.permit.Target]
-			}
-			f.report(report, f.now)
-			if f.now.Sub(r.first) <= r.kind.aim {
-				good[r.kind.rule]++
-			}
-		})
-		f.serve(f.now)
-		waiting = slices.DeleteFunc(waiting, func(r *request) bool {
-			select {
-			case a := <-r.waiter.done:
-				if a.err != nil {
-					refused(r, a.err)
-				} else {
-					answered(r, a.permit)
-				}
-				return true
-			default:
-				return false
-			}
-		})
-		away = due(away, f.now, ask)
-		for next <= f.now {
-			k := p.pick(random)
-			asked[k.rule]++
-			scale := math.Exp(random.NormFloat64()*workSpread - workSpread*workSpread/2)
-			ask(&request{kind: k, first: f.now, work: time.Duration(float64(k.work) * scale)})
-			next = next.Add(time.Duration(random.ExpFloat64() / p.perSecond * float64(time.Second)))
+		r.running = due(r.running, r.now, r.answered)
+		r.serve(r.now)
+		r.collect()
+		r.away = due(r.away, r.now, r.send)
+		for next <= r.now {
+			r.arrive()
+			next = next.Add(time.Duration(r.random.ExpFloat64() / p.perSecond * float64(time.Second)))
 		}
 	}
 	shares := map[string]float64{}
-	for rule, n := range asked {
-		shares[rule] = float64(good[rule]) / float64(n)
+	for rule, n := range r.asked {
+		shares[rule] = float64(r.good[rule]) / float64(n)
 	}
 	return shares
 }
 
+// runner is a play on its way.
+type runner struct {
+	play
+	*fixture
+	random *rand.Rand
+	// slow is how many times as long as usual work takes at each target now.
+	slow map[string]float64
+	// waiting have been queued, running are at a target, away were refused and come back.
+	waiting, running, away []*request
+	asked, good            map[string]int
+}
+
+func (r *runner) disturb() {
+	for _, s := range r.play.slots {
+		r.slow[s.Target] = 1
+		if r.random.Float64() < disturbedShare {
+			r.slow[s.Target] = disturbedBy
+		}
+	}
+}
+
+// arrive makes a new request.
+func (r *runner) arrive() {
+	k := r.pick(r.random)
+	r.asked[k.rule]++
+	scale := math.Exp(r.random.NormFloat64()*workSpread - workSpread*workSpread/2)
+	r.send(&request{kind: k, first: r.now, work: time.Duration(float64(k.work) * scale)})
+}
+
+// send asks for a permit for a request.
+func (r *runner) send(q *request) {
+	w, p, err := r.ask(func(a *Ask) {
+		a.Rule, a.Priority, a.DataCentre = q.kind.rule, q.kind.rank, "dc1"
+		a.AimLeft, a.Left = q.first.Add(q.kind.aim).Sub(r.now), q.first.Add(q.kind.patience).Sub(r.now)
+		a.Returning = q.tries > 0
+	})
+	q.waiter = w
+	switch {
+	case err != nil:
+		r.refused(q, err)
+	case p.Target != "":
+		r.begin(q, p)
+	default:
+		r.waiting = append(r.waiting, q)
+	}
+}
+
+func (r *runner) begin(q *request, p Permit) {
+	q.permit = p
+	q.took = time.Duration(float64(q.work) * r.slow[p.Target])
+	q.at = r.now.Add(q.took)
+	r.running = append(r.running, q)
+}
+
+// refused has a caller come back when it was told to, if it still has the time.
+func (r *runner) refused(q *request, err error) {
+	var full *RefusedError
+	if !errors.As(err, &full) || q.tries >= comesBack || r.now.Add(full.RetryAfter) > q.first.Add(q.kind.patience) {
+		return
+	}
+	q.tries++
+	q.at = r.now.Add(full.RetryAfter)
+	r.away = append(r.away, q)
+}
+
+// answered ends a request at its target.
+func (r *runner) answered(q *request) {
+	report := Report{ID: q.permit.ID, Target: q.permit.Target, Rule: q.kind.rule, Result: Served, Took: q.took}
+	if r.tells {
+		report.Slowness = r.slow[q.permit.Target]
+	}
+	r.report(report, r.now)
+	if r.now.Sub(q.first) <= q.kind.aim {
+		r.good[q.kind.rule]++
+	}
+}
+
+// collect takes what became of the requests in the queue.
+func (r *runner) collect() {
+	r.waiting = slices.DeleteFunc(r.waiting, func(q *request) bool {
+		select {
+		case a := <-q.waiter.done:
+			if a.err != nil {
+				r.refused(q, a.err)
+			} else {
+				r.begin(q, a.permit)
+			}
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // due takes the requests whose time has come out of a list, the earliest first.
 func due(list []*request, now clock.Instant, do func(*request)) (rest []*request) {
 	var come []*request
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -356,7 +356,7 @@
 		s.measuredAt = now
 		return
 	}
-	s.measured(float64(r.Took)/float64(mean), now)
+	s.pace.learn(float64(r.Took)/float64(mean), now)
 	p.means[rule] = time.Duration(float64(mean)*(1-smoothing/4) + float64(r.Took)/s.slowness*smoothing/4)
 }
 
