Tell in the log when a target names a limit for all instances together, or ends it

What callers saw: targets that had named a limit went on to get requests at the pace of before (docs/incidents/limit-for-all-instances.md). No line of any log said that an answer named a limit, so that the hypotheses could not be told apart. The header is read now, kept by the instance that heard it with its age, and a target-limit line tells each change. Nothing goes by it yet.

What is no number, or below zero, names no limit; a limit near nothing counts as one request in 20 s, since a target that gets none could not lift it.

--- a/coordination/standing/standing.go
+++ b/coordination/standing/standing.go
@@ -1,5 +1,5 @@
-// Package standing holds what targets say of themselves in their answers: that they leave, or that they
-// want nothing from an instance for a time.
+// Package standing holds what targets say of themselves in their answers: that they leave, that they want
+// nothing from an instance for a time, or how many requests they take from all instances together.
 //
 // The registry tells the first as well, but only as long as its store is there and the target reaches
 // it; an answer reaches whoever asked. What a target says to an instance binds that instance from then
@@ -49,7 +49,11 @@
 	leavingAt clock.Instant
 	// pausedUntil is until when it wants nothing.
 	pausedUntil clock.Instant
-	heardAt     clock.Instant
+	// limit is how many requests a second it takes from all instances together, as of limitAt; 0: it
+	// names no limit.
+	limit   float64
+	limitAt clock.Instant
+	heardAt clock.Instant
 }
 
 // NewRegistry returns a registry to which nothing was said. Drain is how long a target takes requests
@@ -67,10 +71,7 @@
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, known := r.said[target]
-	if !known {
-		s = said{leavingAt: clock.Never, pausedUntil: clock.Never}
-	}
+	s := r.of(target)
 	s.heardAt = now
 	if pause > 0 {
 		s.pausedUntil = s.pausedUntil.Later(now.Add(pause))
@@ -83,6 +84,42 @@
 	return first
 }
 
+// of returns what a target has said so far. The caller holds the lock.
+func (r *Registry) of(target string) said {
+	if s, known := r.said[target]; known {
+		return s
+	}
+	return said{leavingAt: clock.Never, pausedUntil: clock.Never, limitAt: clock.Never}
+}
+
+// HeardLimit notes how many requests a second a target takes from all instances together, 0: it names no
+// limit. It returns what it named before.
+func (r *Registry) HeardLimit(target string, perSecond float64) (before float64) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of(target)
+	before = s.limit
+	if before == 0 && perSecond == 0 {
+		return 0
+	}
+	s.limit, s.limitAt, s.heardAt = perSecond, now, now
+	r.said[target] = s
+	return before
+}
+
+// Limit returns how many requests a second a target takes from all instances together, by its last word to
+// this one, 0: it names no limit, and how old that word is.
+func (r *Registry) Limit(target string) (perSecond float64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of(target)
+	if s.limit == 0 {
+		return 0, 0
+	}
+	return s.limit, r.clock.Now().Sub(s.limitAt)
+}
+
 // Left reports whether a target said so long ago that it leaves that nothing may be sent to it.
 func (r *Registry) Left(target string) bool {
 	r.mu.Lock()
--- a/protocol/wire/names.go
+++ b/protocol/wire/names.go
@@ -15,6 +15,8 @@
 	NotRun string
 	// Leaving in a target's answer says that the target is about to leave.
 	Leaving string
+	// Limit in a target's answer is how many requests a second it takes from all instances together.
+	Limit string
 	// Load in a target's answer tells how busy the target is, and how slow now.
 	Load string
 	// Key holds the number of the key, 0 to 65535.
--- a/transport/front/standing.go
+++ b/transport/front/standing.go
@@ -31,11 +31,22 @@
 	if c.h.config.Standing.Heard(t.ID, w.Leaving, w.Pause) {
 		c.h.log("target-leaves", "target", t.ID, "service", c.service.Name, "request", c.id, "listed_as_draining", t.Draining)
 	}
+	if w.Heard {
+		c.heardLimit(t, w.Limit)
+	}
 	if w.Pause > 0 {
 		c.h.log("target-pauses", "target", t.ID, "service", c.service.Name, "request", c.id, "pause_ms", w.Pause.Milliseconds())
 	}
 }
 
+// heardLimit notes how many requests a second a target takes from all instances together.
+func (c *call) heardLimit(t view.Target, perSecond float64) {
+	before := c.h.config.Standing.HeardLimit(t.ID, perSecond)
+	if before != perSecond {
+		c.h.log("target-limit", "target", t.ID, "service", c.service.Name, "request", c.id, "per_second", perSecond, "before", before)
+	}
+}
+
 // mayGet reports whether anything may be sent to a target now. It is asked for the owner of a key, and
 // again for whoever has been found, since the request may have waited for a slot meanwhile.
 func (c *call) mayGet(t view.Target) bool {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -31,12 +31,16 @@
 
 // Word is what a target says of itself beside an answer.
 type Word struct {
+	// Heard says that the target itself answered: what the word does not say, the target does not say.
+	Heard bool
 	// Leaving says that the target is about to leave.
 	Leaving bool
 	// Pause is how long the target wants nothing more from this instance; 0: it does not say.
 	Pause time.Duration
 	// Slowness is how many times as long as usual work takes at the target now; 0: it does not say.
 	Slowness float64
+	// Limit is how many requests a second the target takes from all instances together; 0: it names none.
+	Limit float64
 }
 
 // NotRunError is a target's word that it did not run a request.
@@ -286,7 +290,8 @@
 	if who := resp.Header.Get(names.TargetIs); who != "" && who != x.target.Name {
 		return Word{}
 	}
-	w := Word{Leaving: resp.Header.Get(names.Leaving) != ""}
+	w := Word{Heard: true, Leaving: resp.Header.Get(names.Leaving) != ""}
+	w.Limit = limitOf(resp.Header.Get(names.Limit))
 	w.Slowness = slownessOf(resp.Header.Get(names.Load))
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		w.Pause = pauseOf(resp.Header.Get("Retry-After"))
@@ -315,6 +320,23 @@
 	return min(percent/100, mostSlowness)
 }
 
+const (
+	// leastLimit stands for any lower one, in requests a second: a target that gets no request at all
+	// cannot name another limit.
+	leastLimit = 0.05
+	// mostLimit bounds what is believed, in requests a second.
+	mostLimit = 1e6
+)
+
+// limitOf reads a limit in requests a second; 0: the header names none.
+func limitOf(header string) float64 {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || math.IsNaN(perSecond) || perSecond < 0 {
+		return 0
+	}
+	return min(max(perSecond, leastLimit), mostLimit)
+}
+
 // pauseOf reads a Retry-After header in seconds, which may have a fraction. Whatever else it holds says
 // nothing.
 func pauseOf(header string) time.Duration {
