Go by the limits that targets name for all instances together

What callers' targets saw: 27 requests in 4 s where 18 were allowed, as long as they named a limit. Cause: the header of their answers went to callers unread; nothing anywhere counted requests for all instances together by what a target says. The class is a bound that a target names for all instances and that each would have to know of. Ruled out by the play and the failing test: shares counted by each instance (the pace did not fall at all), keepers that disagree (the same at every time).

The keeper of a target's slots sees all that goes to it, so it holds the limit: each instance that was told tells it with the end of the request, and again with each ask, with the age of the word, so that the next keeper knows from the first instance that is bound by it. The newest word counts; one without a limit ends it. What does not fit is refused at once with the time of the next turn. Without a keeper nothing is sent to such a target, as with cold ones. The leading instance gives keys on that the owner could not take, as told with the measured pace, and gives them back when the limit ends.

--- a/coordination/assign/capacity.go
+++ b/coordination/assign/capacity.go
@@ -23,8 +23,11 @@
 // capacity returns the work that a target can do, in slots of an average target.
 func (m *Manager) capacity(now clock.Instant, h *holder) float64 {
 	slots := float64(h.target.Slots) * h.speed
-	if m.coldWork > 0 && now < h.target.ColdUntil {
-		return min(slots, m.coldWork)
+	if m.coldRate > 0 && now < h.target.ColdUntil {
+		slots = min(slots, m.coldRate*m.requestWork)
+	}
+	if h.limit > 0 {
+		slots = min(slots, h.limit*m.requestWork)
 	}
 	return slots
 }
--- a/coordination/assign/cold_test.go
+++ b/coordination/assign/cold_test.go
@@ -36,6 +36,22 @@
 		Expect(share).To(BeNumerically("~", 0.5, 0.1))
 	})
 
+	ginkgo.It("leave one that names a limit but for what it takes, and come back when it names none", func() {
+		m := NewManager(config, nil, start)
+		m.SetCold(0, 500*time.Millisecond)
+		m.SetLoad(evenLoad(6), nil)
+		list := []view.Target{target("a"), target("b")}
+		now := settle(m, start, list)
+		share := func() float64 { return float64(owners(m.Map())["b"]) / (keyrange.MaxKey + 1) }
+		Expect(share()).To(BeNumerically("~", 0.5, 0.1))
+		m.SetLimits(map[string]float64{"b": 2})
+		now = settle(m, now, list)
+		Expect(share()).To(BeNumerically("~", 1.0/7, 0.06))
+		m.SetLimits(nil)
+		settle(m, now, list)
+		Expect(share()).To(BeNumerically("~", 0.5, 0.1))
+	})
+
 	ginkgo.It("leave an evacuated data centre all at once, and come back when it is taken back", func() {
 		m := NewManager(config, nil, start)
 		m.SetLoad(evenLoad(6), nil)
--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -25,9 +25,10 @@
 	// longestSent is the longest hold of any grant.
 	longestSent time.Duration
 	load        *keyrange.Load
-	// coldWork is the work that a cold target bears, in seconds of a slot of an average target per
-	// second; 0: no bound is known.
-	coldWork    float64
+	// coldRate is how many requests a second a cold target bears; 0: no bound is known.
+	coldRate float64
+	// requestWork is the mean work of a request, in seconds of a slot of an average target.
+	requestWork float64
 	tookOver    clock.Instant
 	firstTarget clock.Instant
 	balancedAt  clock.Instant
@@ -188,7 +189,18 @@
 
 // SetCold takes how many requests a second a cold target bears, 0: no bound is known, and the mean work
 // of a request at a target of average speed.
-func (m *Manager) SetCold(rate float64, work time.Duration) { m.coldWork = rate * work.Seconds() }
+func (m *Manager) SetCold(rate float64, work time.Duration) {
+	m.coldRate = rate
+	m.requestWork = work.Seconds()
+}
+
+// SetLimits takes how many requests a second targets take from all instances together, of those that name
+// a limit.
+func (m *Manager) SetLimits(limits map[string]float64) {
+	for id, h := range m.holders {
+		h.limit = limits[id]
+	}
+}
 
 // Finished notes the outcome of an order.
 func (m *Manager) Finished(now clock.Instant, o Order, outcome Outcome, handover string) {
--- a/coordination/assign/types.go
+++ b/coordination/assign/types.go
@@ -134,6 +134,8 @@
 	failedAt clock.Instant
 	// speed is the target's speed relative to the average.
 	speed float64
+	// limit is how many requests a second it takes from all instances together; 0: it names no limit.
+	limit float64
 	// restarted says that the target has been started again under its name. Its address is that
 	// of the new process, which may have been granted keys by an order meant for the former one.
 	restarted bool
--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -104,6 +104,9 @@
 	// Slowness is how many times as long as usual work takes at the target now, by its own word; 0: it
 	// does not say.
 	Slowness float64
+	// Limit is how many requests a second the target takes from all instances together; 0: it names no
+	// limit.
+	Limit float64
 }
 
 // Answered notes an answer of a target.
@@ -134,6 +137,7 @@
 	}
 	p.Count++
 	p.Slowness += slowness
+	p.Limit = a.Limit
 	c.means[rule] = smoothed(mean, a.Took)
 	c.works[rule] = smoothed(c.works[rule], work)
 }
@@ -158,6 +162,7 @@
 		}
 		own.Count += p.Count
 		own.Slowness += p.Slowness
+		own.Limit = p.Limit
 	}
 }
 
@@ -194,16 +199,27 @@
 	load     map[string]*keyrange.Load
 	arrived  map[string]map[uint16]float32
 	slowness map[string]float64
+	limits   map[string]limitTold
 	at       clock.Instant
 }
 
+// limitTold is a limit that a target names.
+type limitTold struct {
+	perSecond float64
+	at        clock.Instant
+}
+
+// limitHolds is how long a target is believed to name a limit after it last did so: one that was relieved of
+// all its keys tells nobody when it ends.
+const limitHolds = 10 * time.Second
+
 // NewTotal returns an empty total.
 func NewTotal() *Total {
-	return &Total{load: map[string]*keyrange.Load{}, arrived: map[string]map[uint16]float32{}, slowness: map[string]float64{}, at: clock.Never}
+	return &Total{load: map[string]*keyrange.Load{}, arrived: map[string]map[uint16]float32{}, slowness: map[string]float64{}, limits: map[string]limitTold{}, at: clock.Never}
 }
 
-// Add takes one report.
-func (t *Total) Add(work []peerapi.Work, pace []peerapi.Pace) {
+// Add takes one report that was made now.
+func (t *Total) Add(work []peerapi.Work, pace []peerapi.Pace, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range work {
@@ -219,6 +235,11 @@
 		if !known {
 			old = 1
 		}
+		if p.Limit > 0 {
+			t.limits[p.Target] = limitTold{p.Limit, now}
+		} else {
+			delete(t.limits, p.Target)
+		}
 		keep := math.Pow(1-paceSmoothing, float64(p.Count))
 		t.slowness[p.Target] = min(slowest, old*keep+p.Slowness/float64(p.Count)*(1-keep))
 	}
@@ -242,6 +263,22 @@
 	return load, speeds
 }
 
+// Limits returns how many requests a second targets take from all instances together, of those that name a
+// limit.
+func (t *Total) Limits(now clock.Instant) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limits := map[string]float64{}
+	for id, l := range t.limits {
+		if now.Sub(l.at) > limitHolds {
+			delete(t.limits, id)
+			continue
+		}
+		limits[id] = l.perSecond
+	}
+	return limits
+}
+
 // leastInterval is the shortest time over which arrivals are made into a rate.
 const leastInterval = 200 * time.Millisecond
 
--- a/coordination/demand/demand_test.go
+++ b/coordination/demand/demand_test.go
@@ -32,7 +32,7 @@
 		for range perSecond / 2 {
 			list = append(list, peerapi.Work{Service: "s", Key: pick(), Seconds: work})
 		}
-		t.Add(list, nil)
+		t.Add(list, nil, now)
 		load, _ = t.Load("s", now)
 	}
 	return now, load
@@ -75,7 +75,7 @@
 	It("tells how fast targets are", func() {
 		t := NewTotal()
 		for range 50 {
-			t.Add(nil, []peerapi.Pace{{Target: "slow", Count: 4, Slowness: 8}, {Target: "fast", Count: 4, Slowness: 2}})
+			t.Add(nil, []peerapi.Pace{{Target: "slow", Count: 4, Slowness: 8}, {Target: "fast", Count: 4, Slowness: 2}}, start)
 		}
 		_, speeds := t.Load("s", start)
 		Expect(speeds["slow"]).To(BeNumerically("~", 0.5, 0.05))
--- a/coordination/lead/serve.go
+++ b/coordination/lead/serve.go
@@ -32,7 +32,7 @@
 	if args.StoreAnswers {
 		t.heardOfStore()
 	}
-	c.total.Add(args.Work, args.Pace)
+	c.total.Add(args.Work, args.Pace, c.clock.Now())
 	begun := c.clock.Now()
 	c.awaitNews(ctx, t, args)
 	t.heard(args.Self, c.clock.Now(), args.Leaving)
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -209,9 +209,12 @@
 		return
 	}
 	t.loadAt = now
-	t.c.total.Add(t.c.collector.Drain())
+	work, pace := t.c.collector.Drain()
+	t.c.total.Add(work, pace, now)
+	limits := t.c.total.Limits(now)
 	for service, m := range t.managers {
 		m.SetLoad(t.c.total.Load(service, now))
+		m.SetLimits(limits)
 	}
 	targets := t.c.board.Load().Targets
 	t.c.orders.Forget(func(id string) bool { _, ok := targets[id]; return ok })
--- a/coordination/permit/cold.go
+++ b/coordination/permit/cold.go
@@ -25,11 +25,21 @@
 	s.spaced = cold
 }
 
-// awaitsTurn reports whether a cold target may not get the next request yet.
-func (s *slot) awaitsTurn(now clock.Instant) bool { return s.Cold(now) && now < s.coldNext }
+// untilTurn returns the time until a target may get the next request.
+func (s *slot) untilTurn(now clock.Instant) time.Duration {
+	wait := s.untilAllowed(now)
+	if s.Cold(now) {
+		wait = max(wait, s.coldNext.Sub(now))
+	}
+	return wait
+}
+
+// awaitsTurn reports whether a target may not get the next request yet.
+func (s *slot) awaitsTurn(now clock.Instant) bool { return s.untilTurn(now) > 0 }
 
 // took notes that a target got a request.
 func (s *slot) took(now clock.Instant) {
+	s.spend(now)
 	if s.Cold(now) {
 		s.coldNext = now.Add(s.coldInterval())
 	}
@@ -39,8 +49,11 @@
 // are expected to take the given time.
 func (s *slot) does(expected time.Duration, now clock.Instant) float64 {
 	slots := float64(s.Slots) / s.believedSlowness(now)
-	if !s.Cold(now) {
-		return slots
+	if s.Cold(now) {
+		slots = min(slots, s.ColdRate*expected.Seconds())
+	}
+	if perSecond, limited := s.perSecond(); limited {
+		slots = min(slots, perSecond*expected.Seconds())
 	}
-	return min(slots, s.ColdRate*expected.Seconds())
+	return slots
 }
--- a/coordination/permit/keeper.go
+++ b/coordination/permit/keeper.go
@@ -139,6 +139,7 @@
 	now := k.clock.Now()
 	p := k.pool(ask.Pool(), now)
 	p.setSlots(k.slots(ask.Pool()), now)
+	p.noteLimits(ask.Limits, now)
 	w := &waiter{
 		ask: ask, arrived: now, aim: now.Add(ask.AimLeft), deadline: now.Add(ask.Left),
 		expected: p.expected(ask), done: make(chan answer, 1),
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -35,6 +35,7 @@
 	// next one.
 	spaced   bool
 	coldNext clock.Instant
+	allowance
 }
 
 // use is a permit that has been handed out.
@@ -72,7 +73,7 @@
 	for _, given := range list {
 		s := p.slots[given.Target]
 		if s == nil {
-			s = &slot{pace: newPace(), asideUntil: clock.Never, usedAt: clock.Never}
+			s = &slot{pace: newPace(), asideUntil: clock.Never, usedAt: clock.Never, allowance: allowance{heardAt: clock.Never}}
 			p.slots[given.Target] = s
 		}
 		s.Slot = given
@@ -184,7 +185,19 @@
 			work += v.expected
 		}
 	}
-	return waitFor(work, p.capacity(w.expected, now))
+	return max(waitFor(work, p.capacity(w.expected, now)), p.untilTurn(now))
+}
+
+// untilTurn returns the time until one of the targets may get the next request.
+func (p *pool) untilTurn(now clock.Instant) time.Duration {
+	if len(p.order) == 0 {
+		return 0
+	}
+	least := p.order[0].untilTurn(now)
+	for _, s := range p.order[1:] {
+		least = min(least, s.untilTurn(now))
+	}
+	return least
 }
 
 // running returns the work that is left of the requests that have a slot.
@@ -286,13 +299,14 @@
 	})
 	rest := p.waiting[:0]
 	ahead := p.running(now)
+	turn := p.untilTurn(now)
 	for _, w := range p.waiting {
 		if s := p.pick(w, now); s != nil && now.Add(w.took/2) <= w.deadline {
 			w.done <- answer{permit: p.grant(w, s, now)}
 			ahead += w.expected
 			continue
 		}
-		if wait := waitFor(ahead, p.capacity(w.expected, now)); now.Add(wait+w.took/2) > w.deadline {
+		if wait := max(turn, waitFor(ahead, p.capacity(w.expected, now))); now.Add(wait+w.took/2) > w.deadline {
 			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, wait)}}
 			continue
 		}
@@ -316,6 +330,9 @@
 	}
 	s.inUse--
 	p.learn(s, u, r, now)
+	if r.Heard {
+		s.heardLimit(r.Limit, now, now)
+	}
 }
 
 func (p *pool) learn(s *slot, u use, r Report, now clock.Instant) {
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/standing"
 )
 
 // Ask is a request for a permit.
@@ -34,6 +35,8 @@
 	DataCentre string
 	// Abroad is what a target in another data centre is counted slower; see AbroadCost.
 	Abroad time.Duration
+	// Limits are the limits that targets of the pool have named to the asking instance.
+	Limits []standing.Limit
 }
 
 // Permit allows one request to be sent to a target.
@@ -71,6 +74,10 @@
 	// Slowness is how many times as long as usual work takes at the target now, by its own word; 0: it
 	// does not say.
 	Slowness float64
+	// Heard says that the target has answered; Limit is then how many requests a second it takes from all
+	// instances together, 0: it names no limit.
+	Heard bool
+	Limit float64
 }
 
 // RefusedError says that there is no room for a request.
--- a/coordination/standing/standing.go
+++ b/coordination/standing/standing.go
@@ -108,16 +108,34 @@
 	return before
 }
 
-// Limit returns how many requests a second a target takes from all instances together, by its last word to
-// this one, 0: it names no limit, and how old that word is.
-func (r *Registry) Limit(target string) (perSecond float64, age time.Duration) {
+// Limit is a target's word on how many requests it takes from all instances together.
+type Limit struct {
+	Target string
+	// PerSecond is how many requests it takes a second.
+	PerSecond float64
+	// Age is how old the word is.
+	Age time.Duration
+}
+
+// Limits returns the limits that some targets have named to this instance, and have not ended.
+func (r *Registry) Limits(wanted func(target string) bool) []Limit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.of(target)
-	if s.limit == 0 {
-		return 0, 0
+	now := r.clock.Now()
+	var list []Limit
+	for id, s := range r.said {
+		if s.limit > 0 && wanted(id) {
+			list = append(list, Limit{Target: id, PerSecond: s.limit, Age: now.Sub(s.limitAt)})
+		}
 	}
-	return s.limit, r.clock.Now().Sub(s.limitAt)
+	return list
+}
+
+// Limited reports whether a target names a limit, by its last word to this instance.
+func (r *Registry) Limited(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.said[target].limit > 0
 }
 
 // Left reports whether a target said so long ago that it leaves that nothing may be sent to it.
--- a/instance/broker.go
+++ b/instance/broker.go
@@ -32,6 +32,8 @@
 	clock clock.Clock
 	board *view.Board
 	peers *peers.Client
+	// limited reports whether a target names a limit for all instances together.
+	limited func(target string) bool
 	// kept are the pools that this instance keeps for all.
 	kept *permit.Keeper
 	// spare are the few slots that this instance uses of pools whose keeper is silent.
@@ -59,9 +61,9 @@
 	pool    permit.PoolID
 }
 
-func newBroker(self view.Instance, c clock.Clock, board *view.Board, client *peers.Client, log func(string, ...any)) *broker {
+func newBroker(self view.Instance, c clock.Clock, board *view.Board, client *peers.Client, limited func(target string) bool, log func(string, ...any)) *broker {
 	b := &broker{
-		self: self, clock: c, board: board, peers: client, log: log, suspects: map[string]clock.Instant{}, lent: map[string]lender{},
+		self: self, clock: c, board: board, peers: client, limited: limited, log: log, suspects: map[string]clock.Instant{}, lent: map[string]lender{},
 		groupings: map[string]*grouping{}, chooser: permit.NewChooser(c, self.DataCentre),
 	}
 	b.kept = permit.NewKeeper(c, b.slots)
@@ -120,11 +122,11 @@
 }
 
 // spareSlots lists the targets of a pool with this instance's even share of their slots. Those that are
-// cold are left out: nobody would bound what all instances send to them.
+// cold, or name a limit for all instances together, are left out: nobody would bound what all send to them.
 func (b *broker) spareSlots(id permit.PoolID) []permit.Slot {
 	instances := len(b.board.Load().Instances)
 	now := b.clock.Now()
-	list := slices.DeleteFunc(slices.Clone(b.slots(id)), func(s permit.Slot) bool { return s.Cold(now) })
+	list := slices.DeleteFunc(slices.Clone(b.slots(id)), func(s permit.Slot) bool { return s.Cold(now) || b.limited(s.Target) })
 	for i := range list {
 		if instances == 0 {
 			list[i].Slots = 1
--- a/instance/broker_test.go
+++ b/instance/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -18,13 +19,16 @@
 	var (
 		board *view.Board
 		b     *broker
+		// limits are the targets that name one.
+		limits map[string]bool
 	)
 
 	BeforeEach(func() {
 		self := view.Instance{ID: "i1.1", Address: "127.0.0.1:1", DataCentre: "dc0", Weight: 1}
 		board = view.NewBoard(clock.System{})
+		limits = map[string]bool{}
 		board.SetInstances(view.InstancesVersion{Term: 1, Count: 1}, []view.Instance{self})
-		b = newBroker(self, clock.System{}, board, peers.NewClient(peers.Security{}), func(string, ...any) {})
+		b = newBroker(self, clock.System{}, board, peers.NewClient(peers.Security{}), func(id string) bool { return limits[id] }, func(string, ...any) {})
 	})
 
 	list := func(change func(*view.Target)) {
@@ -47,6 +51,21 @@
 		Expect(err).To(MatchError(ContainSubstring(permit.ReasonNoTarget)))
 	})
 
+	It("sends nothing to a target that names a limit while its keeper is silent (guards against instances that each send a share)", func() {
+		list(func(*view.Target) {})
+		silent := view.Instance{ID: "i2.1", Address: "127.0.0.1:1", Weight: 1000}
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, []view.Instance{silent})
+		ask := permit.Ask{ID: "1", Service: "keyed", Target: "k1", Rule: "r", AimLeft: time.Second, Left: time.Second}
+		_, err := b.Acquire(context.Background(), ask)
+		Expect(err).NotTo(HaveOccurred())
+		limits["k1"] = true
+		ask.ID = "2"
+		_, err = b.Acquire(context.Background(), ask)
+		var refused *permit.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+	})
+
 	// Symptom: every request of a service is refused with "no-target" for five seconds, by all
 	// instances, while its targets are well. Sequence: the store is away; the keeper of the
 	// service is killed and starts again, and cannot read the registry. Cause: its answer, made
@@ -56,7 +75,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		ignorant := &Instance{board: view.NewBoard(clock.System{})}
-		ignorant.broker = newBroker(view.Instance{ID: "i2.2"}, clock.System{}, ignorant.board, nil, func(string, ...any) {})
+		ignorant.broker = newBroker(view.Instance{ID: "i2.2"}, clock.System{}, ignorant.board, nil, nil, func(string, ...any) {})
 		server, err := peers.NewServer(listener, peers.Security{}, (*peerBackend)(ignorant))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Close)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -146,11 +146,11 @@
 
 func (i *Instance) build() {
 	i.board = view.NewBoard(i.clock)
-	i.broker = newBroker(i.self, i.clock, i.board, i.peerClient, i.log.Event)
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewRegistry(time.Now)
 	i.standing = standing.NewRegistry(i.clock, time.Duration(i.settings.Drain))
+	i.broker = newBroker(i.self, i.clock, i.board, i.peerClient, i.standing.Limited, i.log.Event)
 	i.budget = front.NewBudget(i.clock, front.BudgetConfig{
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -27,6 +27,9 @@
 	Count int
 	// Slowness is the sum over them of the time taken, relative to the rule's mean.
 	Slowness float64
+	// Limit is how many requests a second the target takes from all instances together, by its last
+	// answer; 0: it names no limit.
+	Limit float64
 }
 
 // Member is an instance that has reported through another one.
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -276,6 +276,7 @@
 	if target == "" {
 		ask.Exclude = c.avoided()
 	}
+	ask.Limits = c.limits(target)
 	p, err := c.h.permits.Acquire(ctx, ask)
 	c.waited += p.Waited
 	permitSeconds.Update(p.Waited.Seconds())
--- a/transport/front/standing.go
+++ b/transport/front/standing.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lycheehall.example/lycheehall/coordination/standing"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
@@ -47,6 +48,18 @@
 	}
 }
 
+// limits returns the limits that the owner of the key, or the targets of the service, have named to this
+// instance.
+func (c *call) limits(owner string) []standing.Limit {
+	return c.h.config.Standing.Limits(func(id string) bool {
+		if owner != "" {
+			return id == owner
+		}
+		t, known := c.snapshot.Targets[id]
+		return known && t.Service == c.service.Name
+	})
+}
+
 // mayGet reports whether anything may be sent to a target now. It is asked for the owner of a key, and
 // again for whoever has been found, since the request may have waited for a slot meanwhile.
 func (c *call) mayGet(t view.Target) bool {
--- a/transport/front/standing_test.go
+++ b/transport/front/standing_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -185,3 +187,53 @@
 		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
 	})
 })
+
+var _ = Describe("a target that names a limit for all instances together", func() {
+	limit := says(upstream.Word{Heard: true, Limit: 1.5})
+	none := says(upstream.Word{Heard: true})
+
+	DescribeTable("has it told to the keeper of its slots, with its answer and with each ask until it names none", func(method, path, target string) {
+		f := newFixture()
+		f.up.next = play{limit, none}
+		for range 3 {
+			Expect(f.do(method, path).Code).To(Equal(200))
+		}
+		Expect(f.permits.asks[0].Limits).To(BeEmpty())
+		Expect(f.permits.reports[0].Heard).To(BeTrue())
+		Expect(f.permits.reports[0].Limit).To(Equal(1.5))
+		Expect(f.permits.asks[1].Limits).To(ConsistOf(HaveField("Target", target)))
+		Expect(f.permits.reports[1].Limit).To(BeZero())
+		Expect(f.permits.asks[2].Limits).To(BeEmpty())
+	},
+		Entry("the owner of a key", "POST", "/k/a", "k1"),
+		Entry("one without keys", "GET", "/p", "p1"),
+	)
+
+	It("has it told with a refusal too, and with the try after that", func() {
+		f := newFixture()
+		f.up.next = play{fails(&upstream.NotRunError{Status: 503, Word: upstream.Word{Heard: true, Limit: 1.5}})}
+		Expect(f.do("POST", "/k/a").Code).To(Equal(200))
+		Expect(f.permits.reports[0].Limit).To(Equal(1.5))
+		Expect(f.permits.asks[1].Limits).To(HaveLen(1))
+	})
+
+	It("is not taken for one that names none when it did not answer", func() {
+		f := newFixture()
+		f.up.next = play{limit, broken}
+		f.do("POST", "/k/a")
+		f.do("POST", "/k/a")
+		Expect(f.permits.reports[1].Heard).To(BeFalse())
+		f.do("POST", "/k/a")
+		Expect(f.permits.asks[2].Limits).To(HaveLen(1))
+	})
+
+	It("is told in the log once for each change", func() {
+		f := newFixture()
+		f.up.next = play{limit, limit, none}
+		for range 3 {
+			f.do("POST", "/k/a")
+		}
+		told := slices.DeleteFunc(f.lines, func(line string) bool { return !strings.HasPrefix(line, "target-limit") })
+		Expect(told).To(HaveLen(2))
+	})
+})
--- a/transport/front/try.go
+++ b/transport/front/try.go
@@ -46,9 +46,10 @@
 	}
 	report := c.report(p, outcomeOf(ctx, answer, err), took)
 	report.Slowness = word.Slowness
+	report.Heard, report.Limit = word.Heard, word.Limit
 	c.h.permits.Release(report)
 	if err == nil && answer.Status < http.StatusInternalServerError {
-		c.h.collector.Answered(t.ID, c.decision.Rule.Name, demand.Answer{Took: took, Size: len(answer.Body), Slowness: word.Slowness})
+		c.h.collector.Answered(t.ID, c.decision.Rule.Name, demand.Answer{Took: took, Size: len(answer.Body), Slowness: word.Slowness, Limit: word.Limit})
 	}
 	return c.judge(ctx, wait, answer, err)
 }
