--- a/instance/config_test.go
+++ b/instance/config_test.go
@@ -31,7 +31,7 @@
 			"columns": []string{"name", "host", "prefix", "kind", "timeout", "target-latency", "priority", "service", "max-attempts", "backends"},
 			"rows":    rows,
 		},
-		"services": map[string]any{"columns": []string{"name", "max-conns", "sharded"}, "rows": [][]any{{"plain", 130, nil}, {"other", 130, nil}}},
+		"services": map[string]any{"columns": []string{"name", "max-conns", "sharded"}, "rows": [][]any{{"plain", 130, nil}, {"other", 130, nil}, {"keyed", 130, true}}},
 	}
 }
 
