Order what the store tells by its era first, and take up nothing older with it

What callers saw: requests handled as configuration 18 allows, 2.5 s after 22 was acknowledged, while the store had come back from a copy some seconds old. Cause: versions of the store were believed only to rise. A reader went on from the highest one that it had seen and took no row below it, so that nothing new came into force until the store's count had passed that, and read the whole table again and again meanwhile. The same belief stood in the lease (its row never changed for an observer, so each one took it from the other), in the map (the leading instance put the older one into force, as the failing test shows: two targets held the same keys) and in fences and terms. The class is a version that is compared across two histories. Ruled out: that instances were not told (the one that read the row did not take it).

A version is now the store's era and its count in one number, put together by the store's client, so that what is newer is higher everywhere, also between instances; a feed or a condition from a former era fails. A lease's row of a former era frees nothing but by a whole lease without a change; the leading instance takes it anew with the maps that it knows; terms and fences go on above all of former eras; a row per era has late changes of former ones fail. Draining targets, entries and evacuations hold on until they are written again.

Measured: the six specs of processes that failed (nothing in force within 2.5 s, two targets with the same keys, 14 holders of the lease in 4 s) pass, and eleven of single decisions beside them.

--- a/coordination/assign/schedules_test.go
+++ b/coordination/assign/schedules_test.go
@@ -188,7 +188,7 @@
 	case 3:
 		// Another instance leads. The former one goes on sending for a moment.
 		w.former, w.formerTo = w.leader, w.now.Add(lease.Margin)
-		w.stored = w.stored.Raised()
+		w.stored = w.stored.Raised(0)
 		w.leader = NewManager(config, w.stored, w.now)
 	case 4:
 		load := &keyrange.Load{}
--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -93,6 +93,7 @@
 		Expect: []store.Expect{{ID: id, Version: t.stored.leaseVersion}},
 		Writes: []store.Write{{ID: id, Value: text}},
 	}
+	guardEra(&txn, t.stored.era)
 	for service, m := range proposed {
 		id := store.ID{Table: table, Part: part, Key: mapKey + service}
 		text, err := m.Encode()
@@ -108,6 +109,10 @@
 // committed takes the outcome of a commit that was begun at the given time.
 func (t *term) committed(begun clock.Instant, proposed map[string]*keyrange.Map, version uint64, err error, again *stored) {
 	t.committing = false
+	if err == nil && store.EraOf(version) != t.stored.era || again != nil && again.era != t.stored.era {
+		t.noteReturned(t.c.clock.Now())
+		return
+	}
 	if err == nil {
 		t.nextRenew = begun.Add(lease.RenewEvery)
 		t.stored.leaseVersion = version
@@ -243,7 +248,7 @@
 	if err != nil {
 		return err
 	}
-	if s.lease.Holder != t.c.config.Self.ID || s.lease.Vacant {
+	if s.lease.Holder != t.c.config.Self.ID || s.lease.Vacant || s.era != t.stored.era {
 		return nil
 	}
 	t.stored.leaseVersion = s.leaseVersion
--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -97,6 +97,10 @@
 	rulesRefused bool
 	// lost is the holder that was found not to lead any more.
 	lost string
+	// former is what this instance knew when the store came back from a copy while it led.
+	former former
+	// heardLeader says that this instance has led, or an instance that leads has answered it.
+	heardLeader bool
 	// leaderKnown is closed when the next leader is found.
 	leaderKnown chan struct{}
 	// heard is closed when this instance has heard of the lease, from the store or its holder.
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -31,11 +31,15 @@
 				continue
 			}
 		}
-		if c.askRelay(ctx, false) {
+		if !c.leadsOn() && c.askRelay(ctx, false) {
 			continue
 		}
 		t, err := c.lookAtLease(ctx, !leaving && !c.standsBack())
 		c.settleStart(ctx)
+		if t == nil && c.leadsOn() {
+			sleep(ctx, returnPause)
+			continue
+		}
 		if t == nil {
 			if err != nil {
 				c.askAnybody(ctx)
@@ -167,6 +171,7 @@
 		c.log("leader-followed", "leader", c.leader.Holder, "term", c.leader.Term)
 	}
 	c.lastSync = c.clock.Now()
+	c.heardLeader = true
 	c.nowCurrent()
 	c.lost = ""
 }
--- a/coordination/lead/handover_test.go
+++ b/coordination/lead/handover_test.go
@@ -27,7 +27,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range txn.Expect {
-		if s.rows[e.ID].Version != e.Version {
+		row, there := s.rows[e.ID]
+		if there != (store.CountOf(e.Version) != 0) || there && row.Version != e.Version {
 			return 0, &store.ConflictError{}
 		}
 	}
--- a/coordination/lead/reader.go
+++ b/coordination/lead/reader.go
@@ -45,6 +45,9 @@
 	targets map[string]view.Target
 	// older are the entries that tell of an earlier life of a target than targets do.
 	older map[string]olderEntry
+	// returnedAt is when the configuration was first read after the store came back from a copy; Never:
+	// that is not so, or so long ago that the store has all of it again.
+	returnedAt clock.Instant
 	// refused are the keys of entries that name no target, as far as they have been told.
 	refused map[string]bool
 }
@@ -65,7 +68,7 @@
 )
 
 func newReader(c clock.Clock, s store.Store, source Source, board *view.Board, log Log) *reader {
-	return &reader{clock: c, store: s, source: source, board: board, log: log, targets: map[string]view.Target{}, older: map[string]olderEntry{}, refused: map[string]bool{}}
+	return &reader{clock: c, store: s, source: source, board: board, log: log, targets: map[string]view.Target{}, older: map[string]olderEntry{}, refused: map[string]bool{}, returnedAt: clock.Never}
 }
 
 // readRules brings the configuration up to date, and waits for a change for at most wait. It
@@ -76,10 +79,23 @@
 func (r *reader) readRules(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	begun := r.clock.Now()
 	after := r.board.RulesRead()
-	rows, next, whole, err := r.read(ctx, r.source.RulesTable, after, wait)
+	from := after
+	returned := r.returnedAt != clock.Never && begun.Sub(r.returnedAt) >= view.ReturnedFor
+	if returned {
+		// What was believed beside the store's word is no more.
+		from = 0
+	}
+	rows, next, whole, err := r.read(ctx, r.source.RulesTable, from, wait)
 	if err != nil {
 		return false, err
 	}
+	switch {
+	case after != 0 && store.EraOf(next) > store.EraOf(after):
+		r.log("store-returned", "era", store.EraOf(next), "version", store.CountOf(next), "before", store.CountOf(after))
+		r.returnedAt = begun
+	case returned:
+		r.returnedAt = clock.Never
+	}
 	if !whole && len(rows) == 0 && r.clock.Now().Sub(begun) >= wait {
 		// The store answered that there is no change after it had waited that long.
 		begun = begun.Add(wait)
@@ -101,7 +117,7 @@
 		return
 	}
 	evacuated := map[string]bool{}
-	if !whole {
+	if !whole || r.returnedAt != clock.Never {
 		for _, dataCentre := range r.board.Load().Evacuations.List() {
 			evacuated[dataCentre] = true
 		}
--- a/coordination/lead/reader_test.go
+++ b/coordination/lead/reader_test.go
@@ -195,7 +195,8 @@
 			maps: map[string]*keyrange.Map{"s": m}, mapVersions: map[string]uint64{"s": 7},
 		})
 		Expect(t).NotTo(BeNil())
-		Expect(s.taken.Expect).To(HaveLen(2))
+		Expect(s.taken.Expect).To(HaveLen(3))
+		Expect(s.taken.Expect[2]).To(Equal(store.Expect{ID: eraRow(1)}))
 		Expect(s.taken.Expect[1].Version).To(Equal(uint64(7)))
 		Expect(t.stored.mapVersions).To(HaveKeyWithValue("s", uint64(20)))
 		raised := c.board.Load().Maps["s"]
--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -13,6 +13,10 @@
 
 // stored is what the store holds of ours.
 type stored struct {
+	// era is the store's as of the reading.
+	era uint64
+	// ledBefore says that this instance knows of a holder of the lease.
+	ledBefore    bool
 	lease        lease.Row
 	leaseVersion uint64
 	maps         map[string]*keyrange.Map
@@ -25,16 +29,16 @@
 func (c *Coordinator) readStored(ctx context.Context) (*stored, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, _, err := c.store.Scan(callCtx, table, part)
+	rows, version, err := c.store.Scan(callCtx, table, part)
 	c.noteStore(ctx, err)
 	if err != nil {
 		return nil, err
 	}
-	return decodeStored(rows)
+	return decodeStored(rows, store.EraOf(version))
 }
 
-func decodeStored(rows []store.Row) (*stored, error) {
-	s := &stored{maps: map[string]*keyrange.Map{}, mapVersions: map[string]uint64{}}
+func decodeStored(rows []store.Row, era uint64) (*stored, error) {
+	s := &stored{era: era, leaseVersion: store.VersionOf(era, 0), maps: map[string]*keyrange.Map{}, mapVersions: map[string]uint64{}}
 	for _, row := range rows {
 		if row.Key == leaseKey {
 			var err error
@@ -77,14 +81,18 @@
 			c.log("quarantine-refused", "error", err.Error())
 		}
 	}
+	now := c.clock.Now()
 	c.mu.Lock()
-	c.observer.Saw(s.leaseVersion, s.lease.Vacant, c.clock.Now())
+	s.ledBefore = c.observer.Held()
+	c.observer.Saw(s.leaseVersion, s.current() && s.lease.Vacant, now)
 	c.looked(begun)
-	free := c.observer.MayTake(begun) || c.succeeds(s.lease) || s.lease.Term != 0 && s.lease.Term == c.vacated.term
+	free := c.isFree(s, begun, now)
 	c.neverLed = s.lease.Term == 0
 	// A write of ours whose answer was lost may have taken effect after all.
-	ours := s.lease.Holder == c.config.Self.ID
-	if !free && !ours {
+	ours := s.current() && s.lease.Holder == c.config.Self.ID
+	if !s.current() {
+		c.setLeader(lease.Row{})
+	} else if !free && !ours {
 		c.setLeader(s.lease)
 	} else {
 		c.setLeader(lease.Row{})
@@ -96,6 +104,14 @@
 	return c.bid(ctx, s), nil
 }
 
+// isFree reports whether the lease as it was just read is free for this instance. The caller holds the lock.
+func (c *Coordinator) isFree(s *stored, begun, now clock.Instant) bool {
+	if s.current() {
+		return c.observer.MayTake(begun) || c.succeeds(s.lease) || s.lease.Term != 0 && s.lease.Term == c.vacated.term
+	}
+	return c.former.leads(now) || c.observer.MayTake(begun) && c.knowsOwners(begun)
+}
+
 // looked notes that the lease's row was read at the given time. The caller holds the lock.
 func (c *Coordinator) looked(at clock.Instant) {
 	c.lookedAt = at
@@ -125,7 +141,8 @@
 	return min(longestBid, time.Duration(float64(bidSpread)*(1-weight)/weight))
 }
 
-func (c *Coordinator) bid(ctx context.Context, s *stored) *term {
+// holdBack leaves the lease for a moment to others that would lead better.
+func (c *Coordinator) holdBack(ctx context.Context, s *stored) {
 	sleep(ctx, bidDelay(c.config.Self.Weight))
 	if s.lease.Vacant && c.outranked() {
 		sleep(ctx, outrankedBid)
@@ -133,7 +150,16 @@
 	if c.board.Keeping() {
 		sleep(ctx, keepingBid)
 	}
-	row := lease.Row{Holder: c.config.Self.ID, Address: c.config.Self.Address, Term: s.lease.Term + 1}
+}
+
+func (c *Coordinator) bid(ctx context.Context, s *stored) *term {
+	if !c.leadsOn() {
+		c.holdBack(ctx, s)
+	}
+	if !s.current() {
+		c.takeUp(s)
+	}
+	row := lease.Row{Holder: c.config.Self.ID, Address: c.config.Self.Address, Term: s.nextTerm(), Era: s.era}
 	text, err := row.Encode()
 	if err != nil {
 		c.log("lease-not-written", "error", err.Error())
@@ -149,6 +175,10 @@
 		c.log("map-not-written", "error", err.Error())
 		return nil
 	}
+	guardEra(&txn, s.era)
+	if !s.current() {
+		openEra(&txn, s.era)
+	}
 	begun := c.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -170,7 +200,7 @@
 func (s *stored) raise(txn *store.Txn) (map[string]*keyrange.Map, error) {
 	raised := map[string]*keyrange.Map{}
 	for service, m := range s.maps {
-		raised[service] = m.Raised()
+		raised[service] = m.Raised(s.leastCount())
 		text, err := raised[service].Encode()
 		if err != nil {
 			return nil, err
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -74,6 +74,13 @@
 		done: make(chan func(), 1024), stop: make(chan struct{}), exited: make(chan struct{}),
 	}
 	t.holder.Renewed(confirmed)
+	c.mu.Lock()
+	if c.former.successor == s.lease.Term {
+		t.formerHeld = c.former.heldUntil
+	}
+	c.former = former{}
+	c.heardLeader = true
+	c.mu.Unlock()
 	for _, i := range c.board.Load().Instances {
 		t.members[i.ID] = &member{Instance: i, heardAt: now}
 	}
@@ -129,6 +136,10 @@
 		t.ended = true
 		return
 	}
+	if t.storeReturned() {
+		t.noteReturned(now)
+		return
+	}
 	t.refreshTargets(now)
 	t.refreshLoad(now)
 	t.checkDark(now, until)
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -7,7 +7,8 @@
 // which is after that write took effect. An observer that has seen the version unchanged for
 // a whole lease therefore knows that the holder's own count has run out, whatever the
 // holder believes, as long as their clocks run at rates that differ by less than
-// ClockTolerance.
+// ClockTolerance. Where the store came back from a copy the row has a version of a new era, and
+// the observer counts anew.
 package lease
 
 import (
@@ -16,6 +17,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/state/store"
 )
 
 const (
@@ -40,6 +42,9 @@
 	Term uint64 `json:"term"`
 	// Vacant says that the holder has given the lease up and does nothing under it any more.
 	Vacant bool `json:"vacant,omitempty"`
+	// Era is the store's when the lease was taken. In a later one the row is of before the store came back
+	// from a copy: another instance may have taken the lease since, and hold it.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Encode returns the stored form.
@@ -92,6 +97,8 @@
 	since   clock.Instant
 	vacant  bool
 	known   bool
+	// held says that somebody has held the lease.
+	held bool
 }
 
 // Saw notes that the row had the version at the given time.
@@ -100,11 +107,15 @@
 		return
 	}
 	o.known = true
+	o.held = o.held || store.CountOf(version) != 0
 	o.version = version
 	o.vacant = vacant
 	o.since = at
 }
 
+// Held reports whether the observer knows that somebody has held the lease.
+func (o *Observer) Held() bool { return o.held }
+
 // Version returns the newest version known.
 func (o *Observer) Version() uint64 { return o.version }
 
@@ -115,5 +126,8 @@
 		return false
 	}
 	wait := Duration + time.Duration(float64(Duration)*ClockTolerance)
-	return o.version == 0 || o.vacant || now.Sub(o.since) >= wait
+	return !o.held || o.vacant || o.Unchanged(now) >= wait
 }
+
+// Unchanged returns for how long the row has had the newest version known, as far as the observer knows.
+func (o *Observer) Unchanged(now clock.Instant) time.Duration { return now.Sub(o.since) }
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -14,6 +14,7 @@
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/protocol/rules"
+	"lycheehall.example/lycheehall/state/store"
 )
 
 // Snapshot is a consistent set of beliefs.
@@ -81,11 +82,13 @@
 	kept Kept
 	// steadySince is since when the registry has been read without interruption.
 	steadySince clock.Instant
+	// returnedAt is when the registry was first read after the store came back from a copy.
+	returnedAt clock.Instant
 }
 
 // NewBoard returns a board that knows nothing.
 func NewBoard(c clock.Clock) *Board {
-	b := &Board{clock: c, targetsAt: clock.Never, rulesAt: clock.Never, steadySince: c.Now()}
+	b := &Board{clock: c, targetsAt: clock.Never, rulesAt: clock.Never, steadySince: c.Now(), returnedAt: clock.Never}
 	b.current.Store(&Snapshot{
 		Targets:   map[string]Target{},
 		ByService: map[string][]Target{},
@@ -153,6 +156,9 @@
 	before := b.targetsRead
 	b.targetsRead = version
 	b.readAt(at)
+	if before != 0 && store.EraOf(version) > store.EraOf(before) {
+		b.returnedAt, b.steadySince = at, at
+	}
 	return b.replaceTargets(b.believe(before, b.current.Load().Targets, list))
 }
 
@@ -251,10 +257,17 @@
 	AsOf uint64
 }
 
-// believe adds to a reading what it may lack only because the store was away. Before is the version of the
+// ReturnedFor is how long after the store came back from a copy what was known before holds on, where the
+// store lacks it: whoever wrote it writes it again.
+const ReturnedFor = 10 * time.Second
+
+// believe adds to a reading what it may lack only because the store was away or came back from a copy. Before is the version of the
 // reading before it.
 func (b *Board) believe(before uint64, old, list map[string]Target) map[string]Target {
 	believed := b.sinceWhen(old, list)
+	if b.targetsAt.Sub(b.returnedAt) < ReturnedFor {
+		keepDraining(believed, old)
+	}
 	settled := b.targetsAt.Sub(b.steadySince) >= goneAfter
 	kept := Kept{AsOf: before}
 	if len(b.kept.IDs) > 0 {
@@ -271,6 +284,16 @@
 	return believed
 }
 
+// keepDraining has targets of a list go on to drain that did before: none takes that back.
+func keepDraining(list, before map[string]Target) {
+	for id, t := range list {
+		if former := before[id]; former.Draining && !t.Draining {
+			t.Draining, t.DrainingAt = true, former.DrainingAt
+			list[id] = t
+		}
+	}
+}
+
 // Kept returns the targets that are believed though the last reading of the registry did not list them,
 // since they may have lapsed only.
 func (b *Board) Kept() Kept {
--- a/coordination/view/board_test.go
+++ b/coordination/view/board_test.go
@@ -9,6 +9,7 @@
 
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
+	"lycheehall.example/lycheehall/state/store"
 )
 
 func TestView(t *testing.T) {
@@ -189,6 +190,32 @@
 		Expect(b.Load().Targets["x"].DrainingAt).To(Equal(clock.Instant(time.Second)))
 	})
 
+	It("goes on to drain targets that a store which came back from a copy lists as ready", func() {
+		list := listing("x", "y")
+		x := list["x"]
+		x.Draining = true
+		list["x"] = x
+		c.now = clock.Instant(time.Hour)
+		b.SetTargets(store.VersionOf(1, 900), list, c.now)
+		b.SetTargets(store.VersionOf(2, 300), listing("x", "y"), c.now.Add(300*time.Millisecond))
+		Expect(b.Load().Targets["x"].Draining).To(BeTrue())
+		Expect(b.Load().Targets["y"].Draining).To(BeFalse())
+		b.SetTargets(store.VersionOf(2, 310), listing("x", "y"), c.now.Add(700*time.Millisecond))
+		Expect(b.Load().Targets["x"].Draining).To(BeTrue())
+	})
+
+	It("keeps a target that a store which came back from a copy lacks, for two seconds", func() {
+		for at := time.Second; at <= 4*time.Second; at += 400 * time.Millisecond {
+			b.SetTargets(store.VersionOf(1, uint64(at)), listing("x", "y"), clock.Instant(at))
+		}
+		b.SetTargets(store.VersionOf(2, 300), listing("y"), clock.Instant(4400*time.Millisecond))
+		Expect(believed("x")).To(BeTrue())
+		for at := 4800 * time.Millisecond; at <= 6800*time.Millisecond; at += 400 * time.Millisecond {
+			b.SetTargets(store.VersionOf(2, 300+uint64(at)), listing("y"), clock.Instant(at))
+		}
+		Expect(believed("x")).To(BeFalse())
+	})
+
 	It("knows as of when both the rules and the registry were current", func() {
 		read(5*time.Second, "x")
 		b.ConfirmRules(0, clock.Instant(3*time.Second))
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -22,8 +22,8 @@
 	// ErrUnknown says that the call may have taken effect, or may still do so later if its
 	// conditions hold by then.
 	ErrUnknown = errors.New("store: outcome unknown")
-	// ErrHistoryGone says that a feed cannot continue from the given version. The table
-	// must be read as a whole.
+	// ErrHistoryGone says that a feed cannot continue from the given version, which may be of a former
+	// era. The table must be read as a whole.
 	ErrHistoryGone = errors.New("store: history is gone")
 	// ErrInvalid says that the store refuses the call as such; repeating it is of no use.
 	ErrInvalid = errors.New("store: invalid call")
@@ -40,7 +40,8 @@
 type Row struct {
 	ID
 	Value []byte
-	// Version changes with each write of the row and is never used twice. 0: no such row.
+	// Version changes with each write of the row and is never used twice; see VersionOf. A count of 0: no
+	// such row.
 	Version uint64
 	// Deleted marks a row that a feed reports as removed.
 	Deleted bool
@@ -49,7 +50,7 @@
 // Expect is a condition: the row must have exactly this version.
 type Expect struct {
 	ID
-	// Version is 0 when the row must not exist.
+	// Version has a count of 0 when the row must not exist. A version of a former era holds for no row.
 	Version uint64
 }
 
