Give changed rules a version above the one in force, where the store holds an older one

What operators of lycheehall's own rules would see: a change is acknowledged and never comes into force. Found by reading, beside the configuration of the platform: where the store came back from a copy, the next change started from the older version that it holds, and got a number that instances had had before. The version is now above the one in force at the instance that takes the change. Measured: the spec fails without it (version 2 instead of 3). What was lost is not written again by instances, which keep no text: an operator applies it again.

--- a/instance/operate.go
+++ b/instance/operate.go
@@ -263,6 +263,7 @@
 	if !o.platform.OwnRules {
 		return 0, errForeignRules
 	}
+	change.Version = o.board.Load().RulesVersion + 1
 	version, err := rulestore.Apply(ctx, o.platform.Store, base, change)
 	o.log.Event("rules-change", "base", base, "version", version, "author", change.Author, "change", change.ChangeID, "error", errorText(err))
 	return version, err
--- a/state/rulestore/rulestore.go
+++ b/state/rulestore/rulestore.go
@@ -116,7 +116,8 @@
 }
 
 // Apply puts a text in force that started from version base, and returns its version. A
-// change whose id is that of the version in force is not made again.
+// change whose id is that of the version in force is not made again. The version is at least that of the
+// change: a store that came back from a copy may hold an older version than the one in force.
 func Apply(ctx context.Context, s store.Store, base uint64, change Record) (uint64, error) {
 	if _, err := rules.Parse("rules", change.Text); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrInvalid, err)
@@ -131,7 +132,7 @@
 	if st.current.Version != base {
 		return st.current.Version, ErrConflict
 	}
-	change.Version = base + 1
+	change.Version = max(change.Version, base+1)
 	if err := commit(ctx, s, st, change); err != nil {
 		return st.current.Version, err
 	}
--- a/state/rulestore/evacuate_test.go
+++ b/state/rulestore/rulestore_test.go
@@ -47,3 +47,21 @@
 		Expect(rulestore.Evacuate(ctx, s, "", true)).To(MatchError(rulestore.ErrInvalid))
 	})
 })
+
+var _ = Describe("a change of the rules", func() {
+	It("gets a version above the one in force, where the store holds an older one (guards against a change that is taken for an old one)", func() {
+		stored := standin.NewStore()
+		server := httptest.NewServer(stored.Handler())
+		DeferCleanup(server.Close)
+		s := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+		ctx := context.Background()
+		Expect(rulestore.Apply(ctx, s, 0, rulestore.Record{})).To(Equal(uint64(1)))
+		stored.Copy()
+		Expect(rulestore.Apply(ctx, s, 1, rulestore.Record{})).To(Equal(uint64(2)))
+		stored.ComeBack()
+		Expect(rulestore.Apply(ctx, s, 1, rulestore.Record{Version: 3})).To(Equal(uint64(3)))
+		current, err := rulestore.Current(ctx, s)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(current.Version).To(Equal(uint64(3)))
+	})
+})
