Have targets of the soak name limits for all instances together

The class is one that the soak knew nothing of. One target after the other names a limit, changes it and ends it. The check counts from what targets recorded, for instances that had passed the limit on half a second before and were not interrupted since.

Three copies of the same loop became one function.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -36,8 +36,10 @@
 	// Instance is the address that it was sent to, Sent when, and Heard when the answer was there.
 	Instance    string
 	Sent, Heard time.Time
-	// Leaving says that the target said with its answer that it leaves.
+	// Leaving says that the target said with its answer that it leaves, Limited that it named a limit for
+	// all instances together.
 	Leaving bool
+	Limited bool
 }
 
 // Callers make requests all the time and remember what they are told.
@@ -127,6 +129,7 @@
 	}
 	t.Heard = time.Now()
 	t.Leaving = resp.Header.Get(platform.Headers().Leaving) != ""
+	t.Limited = resp.Header.Get(platform.Headers().Limit) != ""
 	t.Status = resp.StatusCode
 	switch signature := resp.Header.Get(platform.Headers().Signature); {
 	case signature != "":
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -56,26 +56,15 @@
 // ends it a while later. The returned function ends that. It draws from numbers of its own, so that the
 // other faults of a seed stay what they are.
 func (s *soak) startLeaving() (finish func()) {
-	stop := make(chan struct{})
-	var running sync.WaitGroup
-	running.Go(func() {
+	return during(func(stop <-chan struct{}) {
 		random := rand.New(rand.NewPCG(s.Seed, 1))
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Duration(random.Int64N(int64(leavingPause)))):
-			}
+		for wait(stop, time.Duration(random.Int64N(int64(leavingPause)))) {
 			n := random.IntN(len(s.fleet.targets))
 			s.tellLeaving(n)
 			time.Sleep(leavingLeast + time.Duration(random.Int64N(int64(leavingMost-leavingLeast))))
 			s.replace(s.fleet.targets[n])
 		}
 	})
-	return func() {
-		close(stop)
-		running.Wait()
-	}
 }
 
 // tellLeaving makes a target say that it leaves, if it answers.
@@ -121,8 +110,7 @@
 		if !heard || t.Sent.Sub(at) <= drainTime {
 			continue
 		}
-		excused := slices.ContainsFunc(interrupted[t.Instance], func(i time.Time) bool { return i.After(at) && i.Before(t.Sent) })
-		if !excused {
+		if !between(interrupted[t.Instance], at, t.Sent) {
 			wrong = append(wrong, fmt.Sprintf("%s was sent to %s %v after that had passed on that %s leaves, and reached it",
 				r.Request, t.Instance, t.Sent.Sub(at).Round(time.Millisecond), r.Target))
 		}
--- a/soak/places.go
+++ b/soak/places.go
@@ -56,15 +56,10 @@
 // startEvacuations evacuates one data centre after the other. The returned function ends that, takes the
 // last one back and returns them all.
 func (s *soak) startEvacuations() (finish func() []evacuation) {
-	stop := make(chan struct{})
 	var list []evacuation
-	var running sync.WaitGroup
-	running.Go(func() {
+	end := during(func(stop <-chan struct{}) {
 		random := rand.New(rand.NewPCG(s.Seed, 2))
-		for {
-			if !wait(stop, time.Duration(random.Int64N(int64(evacuatePause)))) {
-				return
-			}
+		for wait(stop, time.Duration(random.Int64N(int64(evacuatePause)))) {
 			name := dataCentre(random.IntN(dataCentres))
 			from, ok := s.evacuate(name, true)
 			if !ok {
@@ -82,8 +77,7 @@
 		}
 	})
 	return func() []evacuation {
-		close(stop)
-		running.Wait()
+		end()
 		return list
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,8 +83,10 @@
 	}
 	leaving := s.startLeaving()
 	evacuations := s.startEvacuations()
+	limits := s.startLimits()
 	s.inject()
 	s.pending.Wait()
+	limits()
 	leaving()
 	evacuated := evacuations()
 	result := &Result{Faults: s.faults, Wrong: changes.Stop()}
@@ -103,9 +105,21 @@
 	result.Wrong = append(result.Wrong, checkLeaving(told, runs, s.interrupted.instances(fleet))...)
 	result.Wrong = append(result.Wrong, checkEvacuations(told, runs, evacuated, s.outOfTouch.of)...)
 	result.Wrong = append(result.Wrong, checkCold(runs)...)
+	result.Wrong = append(result.Wrong, checkLimits(told, runs, s.interrupted.instances(fleet))...)
 	return result, nil
 }
 
+// during runs a function beside others until the returned one is called, which waits for its end.
+func during(run func(stop <-chan struct{})) (finish func()) {
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { run(stop) })
+	return func() {
+		close(stop)
+		running.Wait()
+	}
+}
+
 // settle waits until every instance serves every key.
 func (s *soak) settle(when string) error {
 	deadline := time.Now().Add(settleFor)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -219,3 +219,36 @@
 		Entry("reset", Reset, false),
 	)
 })
+
+var _ = Describe("the check of limits", func() {
+	start := time.Unix(1000, 0)
+	const perSecond = 2.0
+	// play is a target that names a limit, and gets so many requests a second through some instances, each of
+	// which was told with its first one.
+	play := func(rate int, interrupted map[string][]time.Time, instances ...string) []string {
+		told := map[string]Told{}
+		var runs []standin.Record
+		for n := range 8 * rate {
+			at := start.Add(time.Duration(n) * time.Second / time.Duration(rate))
+			id := strconv.Itoa(n)
+			told[id] = Told{Outcome: Answered, Instance: instances[n%len(instances)], Sent: at, Heard: at.Add(time.Millisecond), Limited: true}
+			runs = append(runs, standin.Record{Request: id, Target: "t started 1", Begun: at.UnixNano(), Limit: perSecond, Limited: int64(at.Sub(start))})
+		}
+		return checkLimits(told, runs, interrupted)
+	}
+
+	It("finds a target that gets more than it named through all instances together", func() {
+		Expect(play(2, nil, "i1")).To(BeEmpty())
+		Expect(play(4, nil, "i1")).To(BeEmpty())
+		Expect(play(6, nil, "i1", "i2")).To(HaveLen(1))
+	})
+
+	It("counts no instance that was interrupted after it was told", func() {
+		all := map[string][]time.Time{}
+		for n := range 80 {
+			all["i1"] = append(all["i1"], start.Add(time.Duration(n)*100*time.Millisecond))
+		}
+		Expect(play(6, all, "i1")).To(BeEmpty())
+		Expect(play(6, map[string][]time.Time{"i1": {start.Add(time.Second)}}, "i1")).To(HaveLen(1))
+	})
+})
