Have the store of the soak come back from copies

The class is one that the soak knew nothing of. The checks of owners, versions and evacuations stay as they are.

--- a/soak/changes.go
+++ b/soak/changes.go
@@ -97,19 +97,28 @@
 	defer cancel()
 	store := platform.NewStore(c.fleet.storeAt)
 	defer store.Close()
-	current, err := rulestore.Current(ctx, store)
-	if err != nil {
-		return err
-	}
-	text := rulesOf(current.Version+1, random)
-	version, err := rulestore.Apply(ctx, store, current.Version, rulestore.Record{Author: "soak", Text: text})
-	if err != nil {
-		return err
+	for {
+		current, err := rulestore.Current(ctx, store)
+		if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		next := c.acknowledged + 1
+		c.mu.Unlock()
+		next = max(next, current.Version+1)
+		version, err := rulestore.Apply(ctx, store, current.Version, rulestore.Record{Version: next, Author: "soak", Text: rulesOf(next, random)})
+		if errors.Is(err, rulestore.ErrConflict) {
+			// The store came back from a copy since it was read.
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.acknowledged = version
+		c.mu.Unlock()
+		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.acknowledged = version
-	return nil
 }
 
 // rulesOf returns the example with a rule that tells the version, and a number of others.
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,8 +5,8 @@
 // asked to end, and started again; connections to the store and to targets, which go through
 // loopback proxies, are delayed, reset, silenced and cut one way. Faults overlap. Callers
 // keep their connections until the process at the other end is gone. Beside the faults one target
-// after the other says in its answers, and nowhere else, that it leaves, and one after the other names a
-// limit for all instances together.
+// after the other says in its answers, and nowhere else, that it leaves, one after the other names a limit for
+// all instances together, and the store comes back from a copy of some time before, again and again.
 //
 // The checks: a request that must not run twice ran at most once; what was refused as not run
 // did not run; a caller got its own answer; for each key the fences of the runs never go back,
--- a/soak/places.go
+++ b/soak/places.go
@@ -53,6 +53,24 @@
 	span
 }
 
+// asked are the data centres that operators want evacuated, or have taken back. Its lock is held while one is
+// written.
+type asked struct {
+	mu sync.Mutex
+	of map[string]bool
+}
+
+// writeAgain writes all evacuations again that the store may have lost, or found again.
+func (s *soak) writeAgain() {
+	s.asked.mu.Lock()
+	defer s.asked.mu.Unlock()
+	for name, inForce := range s.asked.of {
+		if !s.write(name, inForce) {
+			s.Progress("seed %d: the evacuation of %s was not written again", s.Seed, name)
+		}
+	}
+}
+
 // startEvacuations evacuates one data centre after the other. The returned function ends that, takes the
 // last one back and returns them all.
 func (s *soak) startEvacuations() (finish func() []evacuation) {
@@ -103,16 +121,32 @@
 
 // evacuate asks for a data centre to be evacuated or takes it back, and returns when that was acknowledged.
 func (s *soak) evacuate(name string, inForce bool) (acknowledged time.Time, ok bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), evacuateTimeout)
-	defer cancel()
-	if err := rulestore.Evacuate(ctx, platform.NewStore(s.fleet.storeAt), name, inForce); err != nil {
-		s.Progress("%v", err)
+	s.asked.mu.Lock()
+	defer s.asked.mu.Unlock()
+	if !s.write(name, inForce) {
 		return time.Time{}, false
 	}
+	if s.asked.of == nil {
+		s.asked.of = map[string]bool{}
+	}
+	s.asked.of[name] = inForce
 	s.Progress("seed %d: %s is evacuated: %t", s.Seed, name, inForce)
 	return time.Now(), true
 }
 
+// write writes whether a data centre is evacuated, and reports whether that was acknowledged.
+func (s *soak) write(name string, inForce bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), evacuateTimeout)
+	defer cancel()
+	store := platform.NewStore(s.fleet.storeAt)
+	defer store.Close()
+	if err := rulestore.Evacuate(ctx, store, name, inForce); err != nil {
+		s.Progress("%v", err)
+		return false
+	}
+	return true
+}
+
 // checkEvacuations sees whether requests reached targets of a data centre that had been evacuated for long,
 // through an instance that was in touch all the while.
 func checkEvacuations(told map[string]Told, runs []standin.Record, evacuations []evacuation, outOfTouch map[string][]span) []string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	// outOfTouch are the times in which instances did not run or did not reach the store, by their addresses
 	// for callers.
 	outOfTouch spans
+	// asked are the evacuations as operators want them.
+	asked asked
 }
 
 // Run plays one seed.
@@ -84,8 +86,10 @@
 	leaving := s.startLeaving()
 	evacuations := s.startEvacuations()
 	limits := s.startLimits()
+	returns := s.startReturns()
 	s.inject()
 	s.pending.Wait()
+	returns()
 	limits()
 	leaving()
 	evacuated := evacuations()
