Leave the turns of targets that name limits to requests that are in time then

More is asked there than targets say that they take, so that refusals are due; which requests get the turns is not. Hypothesis: fresh requests are refused for work that is under way, which has had its turn, and queued when they must be late, so that turns go to late ones.

--- a/coordination/permit/cold.go
+++ b/coordination/permit/cold.go
@@ -45,10 +45,13 @@
 	}
 }
 
+// speed returns the number of slots of an average target that are as fast as those of this one.
+func (s *slot) speed(now clock.Instant) float64 { return float64(s.Slots) / s.believedSlowness(now) }
+
 // does returns the number of slots of an average target that do the same as this one, for requests that
 // are expected to take the given time.
 func (s *slot) does(expected time.Duration, now clock.Instant) float64 {
-	slots := float64(s.Slots) / s.believedSlowness(now)
+	slots := s.speed(now)
 	if s.Cold(now) {
 		slots = min(slots, s.ColdRate*expected.Seconds())
 	}
--- a/coordination/permit/limit.go
+++ b/coordination/permit/limit.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -77,6 +78,11 @@
 	return float64(a.limiter.Limit()), true
 }
 
+// allLimited reports whether all targets of the pool name limits.
+func (p *pool) allLimited() bool {
+	return !slices.ContainsFunc(p.order, func(s *slot) bool { return s.limiter == nil })
+}
+
 // noteLimits takes what an instance was told by targets of the pool.
 func (p *pool) noteLimits(list []standing.Limit, now clock.Instant) {
 	for _, l := range list {
--- a/coordination/permit/limit_test.go
+++ b/coordination/permit/limit_test.go
@@ -97,6 +97,30 @@
 		Expect(err.(*RefusedError).RetryAfter).To(BeNumerically("~", time.Second*2/3, 10*time.Millisecond))
 	})
 
+	g.It("leaves its turns to requests that are in time then (guards against late answers while more is asked than it takes)", func() {
+		f := one()
+		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
+		inTime := func(a *Ask) { a.AimLeft = 800 * time.Millisecond }
+		late := func(a *Ask) { a.AimLeft = 700 * time.Millisecond }
+		_, _, err := f.ask(late)
+		Expect(err).To(HaveOccurred())
+		_, _, err = f.ask(inTime)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	g.It("does not count what it runs as waiting for a turn", func() {
+		f := one()
+		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
+		f.now = f.now.Add(5 * time.Second)
+		for range leastBurst {
+			_, p, err := f.ask(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Target).To(Equal("a"))
+		}
+		w, _, _ := f.ask(func(a *Ask) { a.AimLeft = time.Minute })
+		Expect(f.wait(w, f.now)).To(BeNumerically("~", time.Second*2/3+time.Second*2/3, 20*time.Millisecond))
+	})
+
 	g.It("leaves requests to others of its pool", func() {
 		f := newFixture(two(2)...)
 		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -193,7 +193,7 @@
 			}
 			f.report(Report{ID: p.ID, Target: p.Target, Rule: "r", Result: Failed}, f.now)
 		}
-		Expect(f.capacity(100*time.Millisecond, f.now)).To(BeNumerically(">", 0))
+		Expect(f.capacity(100*time.Millisecond, f.now).does).To(BeNumerically(">", 0))
 	})
 
 	// Symptom: a target's slots shrink until it gets nothing.
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -150,16 +150,36 @@
 	return s.usedAt < other.usedAt
 }
 
-// capacity is the number of slots of targets that can be used for requests that are expected to take
-// the given time.
-func (p *pool) capacity(expected time.Duration, now clock.Instant) float64 {
-	total := 0.0
+// capacity is what a pool can do now, as a number of slots of an average target.
+type capacity struct {
+	// slots are those of the targets that can be used.
+	slots float64
+	// does are the slots that do the same as these, for requests of which targets take only so many a
+	// second.
+	does float64
+	// turn is the time until one of the targets may get the next request.
+	turn time.Duration
+}
+
+// capacity returns what can be done of requests that are expected to take the given time.
+func (p *pool) capacity(expected time.Duration, now clock.Instant) capacity {
+	c := capacity{turn: p.untilTurn(now)}
 	for _, s := range p.order {
 		if now >= s.asideUntil {
-			total += s.does(expected, now)
+			c.slots += s.speed(now)
+			c.does += s.does(expected, now)
 		}
 	}
-	return total
+	return c
+}
+
+// wait returns how long a request waits for a slot behind work that is under way, and work that waits. What
+// is under way needs a slot, and no turn any more.
+func (c capacity) wait(running, waiting time.Duration) time.Duration {
+	if c.does <= 0 {
+		return asideFor
+	}
+	return max(c.turn, waitFor(running, c.slots)) + waitFor(waiting, c.does)
 }
 
 // slowness is how many times as long as at an average target requests take in the pool now.
@@ -168,7 +188,7 @@
 	for _, s := range p.order {
 		if now >= s.asideUntil {
 			slots += float64(s.Slots)
-			does += float64(s.Slots) / s.believedSlowness(now)
+			does += s.speed(now)
 		}
 	}
 	if does == 0 {
@@ -179,13 +199,13 @@
 
 // wait estimates how long until the request would get a slot.
 func (p *pool) wait(w *waiter, now clock.Instant) time.Duration {
-	work := p.running(now)
+	ahead := time.Duration(0)
 	for _, v := range p.waiting {
 		if !w.before(v, now) {
-			work += v.expected
+			ahead += v.expected
 		}
 	}
-	return max(waitFor(work, p.capacity(w.expected, now)), p.untilTurn(now))
+	return p.capacity(w.expected, now).wait(p.running(now), ahead)
 }
 
 // untilTurn returns the time until one of the targets may get the next request.
@@ -239,7 +259,7 @@
 	if w.ask.NoQueue {
 		return Permit{}, false, &RefusedError{Reason: ReasonBusy, RetryAfter: max(wait, time.Millisecond)}
 	}
-	if now.Add(wait) > w.worthUntil() {
+	if now.Add(wait) > p.worthUntil(w) {
 		return Permit{}, false, &RefusedError{Reason: ReasonFull, RetryAfter: max(leastRetryAfter, wait)}
 	}
 	p.waiting = append(p.waiting, w)
@@ -257,10 +277,16 @@
 // late; so only those are queued that may still be in time. How long requests take varies so much that one
 // that gets its slot within its aim often is. A request that has been refused before is let in up to its
 // deadline.
-func (w *waiter) worthUntil() clock.Instant {
+//
+// Where all targets name limits the wait for a turn is known beforehand. A request that would be late is then
+// refused at once: the turn is left to one that comes when it is there.
+func (p *pool) worthUntil(w *waiter) clock.Instant {
 	if w.ask.Returning || w.aim <= w.arrived {
 		return w.deadline
 	}
+	if p.allLimited() {
+		return w.aim.Add(-w.took)
+	}
 	return w.aim
 }
 
@@ -298,15 +324,14 @@
 		return 0
 	})
 	rest := p.waiting[:0]
-	ahead := p.running(now)
-	turn := p.untilTurn(now)
+	running, ahead := p.running(now), time.Duration(0)
 	for _, w := range p.waiting {
 		if s := p.pick(w, now); s != nil && now.Add(w.took/2) <= w.deadline {
 			w.done <- answer{permit: p.grant(w, s, now)}
 			ahead += w.expected
 			continue
 		}
-		if wait := max(turn, waitFor(ahead, p.capacity(w.expected, now))); now.Add(wait+w.took/2) > w.deadline {
+		if wait := p.capacity(w.expected, now).wait(running, ahead); now.Add(wait+w.took/2) > w.deadline {
 			w.done <- answer{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(leastRetryAfter, wait)}}
 			continue
 		}
