--- a/instance/limit_test.go
+++ b/instance/limit_test.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -135,6 +136,20 @@
 		expectServed(answered, d.targets)
 	})
 
+	It("have their keys given on where others have room (guards against callers refused for as long as one is in need)", func() {
+		d := startDeployment()
+		request := func(i, n int) int { return d.book(i, fmt.Sprint("key", n%keyCount), fmt.Sprint("limit-", n)).status }
+		press(d, 2*time.Second, request)
+		d.targets[d.ownerOf("key1")].nameLimit(perSecond)
+		press(d, 4*time.Second, request)
+		var asked atomic.Int64
+		answered := press(d, 2*time.Second, func(i, n int) int {
+			asked.Add(1)
+			return request(i, n)
+		})
+		Expect(float64(answered)).To(BeNumerically(">", 0.95*float64(asked.Load())))
+	})
+
 	It("get all that they take again when they name none (guards against a limit that outlives its end)", func() {
 		d := startDeployment()
 		limited(d.targets)
