--- a/coordination/lead/returned.go
+++ b/coordination/lead/returned.go
@@ -99,6 +99,7 @@
 	t.c.mu.Unlock()
 	t.c.log("lease-returned", "term", t.stored.lease.Term, "left_ms", f.until.Sub(now).Milliseconds())
 	t.ended = true
+	t.stopOnce.Do(func() { close(t.stop) })
 }
 
 // storeReturned reports whether the store has come back from a copy since this leadership began, as far as
