Keep the last crash of each target under a request, however many callers lose one at once

Ruled out: ends that are not noticed (all are in the log), answers (there were none), reports that are not told (twelve instances refused it).

The last crash of each of the latest three targets and three callers is kept, which does not depend on the order of reports, and the answers to callers whose crashes are known.

--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -100,6 +100,24 @@
 		Expect(quarantined(r, by(3))).To(BeTrue())
 	})
 
+	It("stays quarantined however many callers lose the last target at once (guards against the targets before it being forgotten)", func() {
+		r.Crashed(by(1), "t1")
+		c.pass(4 * time.Second)
+		for caller := range uint64(9) {
+			c.pass(time.Millisecond)
+			r.Crashed(by(10+caller), "t2")
+			Expect(quarantined(r, by(3))).To(BeTrue())
+		}
+		c.pass(4 * time.Second)
+		for caller := range uint64(9) {
+			r.Crashed(by(30+caller), "t3")
+		}
+		Expect(quarantined(r, by(3))).To(BeTrue())
+		next := quarantine.NewRegistry(c.Now)
+		next.Merge(r.Unreported())
+		Expect(quarantined(next, by(3))).To(BeTrue())
+	})
+
 	// Symptom: what many callers ask for all the time is refused. Sequence: two targets end for some
 	// other reason while they run it, and others go on to answer it.
 	It("does not quarantine what was answered in between", func() {
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -17,10 +17,12 @@
 	quarantineFor = 24 * time.Hour
 	// suspectFor is how long a request with fewer crashes is remembered after the last one.
 	suspectFor = 10 * time.Minute
-	// mostEntries bounds the requests that are known, mostCrashes what is known of each. All are told
-	// to all instances whenever something is added: 256 with a crash each are some 10 KB.
+	// mostEntries bounds the requests that are known, mostTargets and mostCallers the targets and callers of
+	// whose crashes the last one is known of each. All are told to all instances whenever something is
+	// added: 256 with a crash each are some 10 KB.
 	mostEntries = 256
-	mostCrashes = 4
+	mostTargets = 3
+	mostCallers = 3
 	// mostAnswers bounds the answers that are known of each: one of each caller whose crashes are, and
 	// one for all other callers, with some to spare for those that are learnt in another order.
 	mostAnswers = 16
@@ -129,27 +131,65 @@
 
 // merged returns what two entries tell together.
 func (e Entry) merged(f Entry) Entry {
-	return Entry{
-		Crashes: union(e.Crashes, f.Crashes, func(a, b Crash) int {
-			return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Caller, b.Caller))
-		}, func(c Crash) int64 { return c.At }, mostCrashes),
-		Answers: union(e.Answers, f.Answers, func(a, b Answer) int { return cmp.Compare(a.Caller, b.Caller) },
-			func(a Answer) int64 { return a.At }, mostAnswers),
+	crashes := boundCrashes(union(e.Crashes, f.Crashes, compareCrashes, func(c Crash) int64 { return c.At }))
+	answers := union(e.Answers, f.Answers, func(a, b Answer) int { return cmp.Compare(a.Caller, b.Caller) }, func(a Answer) int64 { return a.At })
+	return Entry{Crashes: crashes, Answers: boundAnswers(answers, crashes)}.sorted()
+}
+
+// boundAnswers keeps of a list, the latest first, those to callers whose crashes are known, which would count
+// again without them, and the latest others.
+func boundAnswers(list []Answer, crashes []Crash) []Answer {
+	room := mostAnswers - mostTargets - mostCallers
+	return slices.DeleteFunc(list, func(a Answer) bool {
+		if slices.ContainsFunc(crashes, func(c Crash) bool { return c.Caller == a.Caller }) {
+			return false
+		}
+		room--
+		return room < 0
+	})
+}
+
+// sorted returns an entry in the order in which it is compared.
+func (e Entry) sorted() Entry {
+	slices.SortFunc(e.Crashes, compareCrashes)
+	slices.SortFunc(e.Answers, func(a, b Answer) int { return cmp.Compare(a.Caller, b.Caller) })
+	return e
+}
+
+// compareCrashes orders the ends of targets by target and caller.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Caller, b.Caller))
+}
+
+// boundCrashes keeps of a list, the latest first, the last crash of each of the latest targets and of each of
+// the latest callers. Many callers may lose one target at once: among the latest crashes alone the target
+// before it would be forgotten, and with it that two have ended. What is kept does not depend on the order in
+// which crashes are learnt.
+func boundCrashes(list []Crash) []Crash {
+	targets, callers := map[uint64]bool{}, map[uint64]bool{}
+	return slices.DeleteFunc(list, func(c Crash) bool {
+		ofTarget := firstOf(targets, c.Target, mostTargets)
+		ofCaller := firstOf(callers, c.Caller, mostCallers)
+		return !ofTarget && !ofCaller
+	})
+}
+
+// firstOf notes an ID, and reports whether it is new and among the first so many.
+func firstOf(seen map[uint64]bool, id uint64, most int) bool {
+	if seen[id] || len(seen) == most {
+		return false
 	}
+	seen[id] = true
+	return true
 }
 
-// union joins two lists, sorted by what tells their elements apart. Of two that are alike it keeps the
-// later one, and of all the latest, at most so many.
-func union[T any](a, b []T, compare func(T, T) int, at func(T) int64, most int) []T {
+// union joins two lists, the latest first. Of two elements that compare as the same it keeps the later one.
+func union[T any](a, b []T, compare func(T, T) int, at func(T) int64) []T {
 	list := slices.Concat(a, b)
 	slices.SortFunc(list, func(x, y T) int { return cmp.Or(compare(x, y), cmp.Compare(at(y), at(x))) })
 	list = slices.CompactFunc(list, func(x, y T) bool { return compare(x, y) == 0 })
-	if len(list) <= most {
-		return list
-	}
+	// Sorted before, those of one time stay in a definite order.
 	slices.SortStableFunc(list, func(x, y T) int { return cmp.Compare(at(y), at(x)) })
-	list = list[:most]
-	slices.SortFunc(list, compare)
 	return list
 }
 
