Let one request at a time through of those under which a target has ended

Cause: two ends are needed to tell a request that crashes targets from one that ran beside; until the second one all its like are let in, and where they are many they come together when the key has an owner again.

Each instance tells the keeper of slots that a target has ended under a request, or one of the same content, since it was last answered; the keeper lets one of a name through at a time and refuses the others at once, with when to come back. An answer clears it for all.

--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -196,6 +196,24 @@
 		Expect(f.capacity(100*time.Millisecond, f.now).does).To(BeNumerically(">", 0))
 	})
 
+	g.It("lets one of several suspect requests through at a time, and refuses the others at once (guards against all of them ending a target)", func() {
+		f := newFixture(two(4)...)
+		suspect := func(name uint64) func(*Ask) { return func(a *Ask) { a.Suspect = name } }
+		_, first, err := f.ask(suspect(7))
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = f.ask(suspect(7))
+		var refused *RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Reason).To(Equal(ReasonSuspect))
+		_, _, err = f.ask(suspect(8))
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = f.ask(nil)
+		Expect(err).NotTo(HaveOccurred())
+		f.served(first, time.Millisecond)
+		_, _, err = f.ask(suspect(7))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Symptom: a target's slots shrink until it gets nothing.
 	// Sequence: instances that hold permits are killed. Cause: nobody gives them back.
 	g.It("takes permits back after their deadline", func() {
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -48,6 +48,8 @@
 	// as long its target was believed to take.
 	expected time.Duration
 	slowness float64
+	// suspect names the request if a target has ended under it.
+	suspect uint64
 }
 
 // pool hands out the slots of one target, or of the targets that serve the same.
@@ -97,8 +99,24 @@
 	return guess
 }
 
+// tries reports whether a suspect request of a name is at a target now.
+func (p *pool) tries(suspect uint64) bool {
+	if suspect == 0 {
+		return false
+	}
+	for _, u := range p.uses {
+		if u.suspect == suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the target to which the request should go now, or nil if it should wait.
 func (p *pool) pick(w *waiter, now clock.Instant) *slot {
+	if p.tries(w.ask.Suspect) {
+		return nil
+	}
 	best := p.best(w, now)
 	if best != nil && best.DataCentre != w.ask.DataCentre && p.betterAtHome(w, now) {
 		return nil
@@ -252,6 +270,9 @@
 		return Permit{}, false, &RefusedError{Reason: ReasonNoTarget, RetryAfter: time.Second}
 	}
 	w.took = time.Duration(float64(w.expected) * p.slowness(now))
+	if p.tries(w.ask.Suspect) {
+		return Permit{}, false, &RefusedError{Reason: ReasonSuspect, RetryAfter: max(leastRetryAfter, w.took)}
+	}
 	if s := p.pick(w, now); s != nil && !p.outranked(w, now) {
 		return p.grant(w, s, now), false, nil
 	}
@@ -301,7 +322,7 @@
 	s.took(now)
 	p.uses[w.ask.ID] = use{
 		target: s.Target, rule: w.ask.Rule, begun: now, deadline: w.deadline,
-		expected: w.expected, slowness: s.believedSlowness(now),
+		expected: w.expected, slowness: s.believedSlowness(now), suspect: w.ask.Suspect,
 	}
 	return Permit{ID: w.ask.ID, Target: s.Target, Waited: now.Sub(w.arrived)}
 }
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -35,6 +35,9 @@
 	DataCentre string
 	// Abroad is what a target in another data centre is counted slower; see AbroadCost.
 	Abroad time.Duration
+	// Suspect names a request under which a target has ended: of those of one name one is let through at a
+	// time, since it may end each target that it reaches; 0: none has.
+	Suspect uint64
 	// Limits are the limits that targets of the pool have named to the asking instance.
 	Limits []standing.Limit
 }
@@ -100,6 +103,8 @@
 	// ReasonBusy: no slot is free, and the ask is not to be queued. RetryAfter is how long it
 	// would wait.
 	ReasonBusy = "busy"
+	// ReasonSuspect: a target has ended under the request, and another one like it is at a target now.
+	ReasonSuspect = "suspect"
 	// ReasonLate: the request waited and its time is now too short.
 	ReasonLate = "late"
 )
--- a/coordination/quarantine/registry.go
+++ b/coordination/quarantine/registry.go
@@ -59,6 +59,13 @@
 	return left, left > 0
 }
 
+// Suspected reports whether a target has ended under a request, of whichever caller, since it was last
+// answered.
+func (r *Registry) Suspected(id Identity) bool {
+	e := (*r.table.Load())[id.Content]
+	return len(e.after(e.answeredAt(func(Answer) bool { return true }))) > 0
+}
+
 // Crashed notes that a life of a target ended while it ran a request. It reports whether the request
 // is quarantined now.
 func (r *Registry) Crashed(id Identity, target string) bool {
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -277,6 +277,7 @@
 		ask.Exclude = c.avoided()
 	}
 	ask.Limits = c.limits(target)
+	ask.Suspect = c.suspect()
 	p, err := c.h.permits.Acquire(ctx, ask)
 	c.waited += p.Waited
 	permitSeconds.Update(p.Waited.Seconds())
--- a/transport/front/crash.go
+++ b/transport/front/crash.go
@@ -31,6 +31,16 @@
 	return notRun("quarantined", left), false
 }
 
+// suspect names the request if a target has ended under it, or under another one of the same content, and
+// none has answered it since; 0: that is not so.
+func (c *call) suspect() uint64 {
+	registry := c.h.config.Quarantine
+	if len(c.crashed) == 0 && (registry.Empty() || !registry.Suspected(c.identify())) {
+		return 0
+	}
+	return uint64(c.identify().Content)
+}
+
 // ended notes that a target has ended while it had the request.
 func (c *call) ended(t view.Target, took time.Duration) {
 	targetsEnded.Inc()
--- a/transport/front/crash_test.go
+++ b/transport/front/crash_test.go
@@ -93,6 +93,26 @@
 		Expect(f.h.config.Quarantine.Unreported()).To(HaveLen(1))
 	})
 
+	It("is told to the keeper of slots after a single one, until it is answered (guards against many that end a second target at once)", func() {
+		f := newFixture()
+		f.up.next = play{ends}
+		f.do("POST", "/k/a")
+		f.do("POST", "/k/b")
+		f.do("POST", "/k/a")
+		f.do("POST", "/k/a")
+		Expect(f.permits.asks[0].Suspect).To(BeZero())
+		Expect(f.permits.asks[1].Suspect).To(BeZero(), "another request")
+		Expect(f.permits.asks[2].Suspect).NotTo(BeZero())
+		Expect(f.permits.asks[3].Suspect).To(BeZero(), "it was answered")
+	})
+
+	It("is told to the keeper of slots with its next try", func() {
+		f := newFixture()
+		f.up.next = play{ends, ok}
+		f.do("GET", "/k/a")
+		Expect(f.permits.asks[1].Suspect).NotTo(BeZero())
+	})
+
 	// Symptom: callers are refused whose targets happened to end. Sequence: a target ends with their
 	// request; the next one answers it. Cause: each crash counted, whatever became of the request.
 	It("is not one that another target has answered", func() {
