--- a/coordination/permit/limit_test.go
+++ b/coordination/permit/limit_test.go
@@ -15,6 +15,17 @@
 		return func(a *Ask) { a.Limits = []standing.Limit{{Target: "a", PerSecond: perSecond, Age: age}} }
 	}
 	one := func() *fixture { return newFixture(Slot{Target: "a", Slots: 6}) }
+	// spendAll uses what has been saved up in a pause.
+	spendAll := func(f *fixture) {
+		g.GinkgoHelper()
+		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
+		f.now = f.now.Add(5 * time.Second)
+		for range leastBurst {
+			_, p, err := f.ask(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Target).To(Equal("a"))
+		}
+	}
 	// sent asks all the time, with answers at once that say what the target says, and counts what is let
 	// through.
 	sent := func(f *fixture, length time.Duration, change func(*Ask), says float64) int {
@@ -77,13 +88,7 @@
 
 	g.It("gets two at once after a pause (guards against requests that wait though it takes them)", func() {
 		f := one()
-		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
-		f.now = f.now.Add(5 * time.Second)
-		for range leastBurst {
-			_, p, err := f.ask(nil)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(p.Target).To(Equal("a"))
-		}
+		spendAll(f)
 		_, p, _ := f.ask(nil)
 		Expect(p.Target).To(BeEmpty())
 	})
@@ -110,13 +115,7 @@
 
 	g.It("does not count what it runs as waiting for a turn", func() {
 		f := one()
-		f.noteLimits([]standing.Limit{{Target: "a", PerSecond: perSecond}}, f.now)
-		f.now = f.now.Add(5 * time.Second)
-		for range leastBurst {
-			_, p, err := f.ask(nil)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(p.Target).To(Equal("a"))
-		}
+		spendAll(f)
 		w, _, _ := f.ask(func(a *Ask) { a.AimLeft = time.Minute })
 		Expect(f.wait(w, f.now)).To(BeNumerically("~", time.Second*2/3+time.Second*2/3, 20*time.Millisecond))
 	})
--- a/coordination/view/board.go
+++ b/coordination/view/board.go
@@ -257,12 +257,8 @@
 	AsOf uint64
 }
 
-// ReturnedFor is how long after the store came back from a copy what was known before holds on, where the
-// store lacks it: whoever wrote it writes it again.
-const ReturnedFor = 10 * time.Second
-
-// believe adds to a reading what it may lack only because the store was away or came back from a copy. Before is the version of the
-// reading before it.
+// believe adds to a reading what it may lack only because the store was away or came back from a copy. Before
+// is the version of the reading before it.
 func (b *Board) believe(before uint64, old, list map[string]Target) map[string]Target {
 	believed := b.sinceWhen(old, list)
 	if b.targetsAt.Sub(b.returnedAt) < ReturnedFor {
@@ -284,16 +280,6 @@
 	return believed
 }
 
-// keepDraining has targets of a list go on to drain that did before: none takes that back.
-func keepDraining(list, before map[string]Target) {
-	for id, t := range list {
-		if former := before[id]; former.Draining && !t.Draining {
-			t.Draining, t.DrainingAt = true, former.DrainingAt
-			list[id] = t
-		}
-	}
-}
-
 // Kept returns the targets that are believed though the last reading of the registry did not list them,
 // since they may have lapsed only.
 func (b *Board) Kept() Kept {
