--- a/coordination/permit/doc.go
+++ b/coordination/permit/doc.go
@@ -16,6 +16,11 @@
 // moment, it gets up to twice its slots. Ownership and "at most once" do not depend on
 // permits.
 //
+// What targets bear a second is kept by the keeper too: the rate of cold ones, which all instances know, and
+// the limit that a target names in its answers, of which the instances that were told tell the keeper with
+// each ask. Nothing is sent to such targets without one. Requests under which a target has ended are let
+// through one at a time.
+//
 // Targets that serve the same are one pool as long as they are few; more are divided into
 // groups with a keeper each, see Groups and Chooser.
 //
--- a/coordination/standing/standing.go
+++ b/coordination/standing/standing.go
@@ -7,6 +7,9 @@
 // other instance, since a target that leaves goes on to serve for a while, and while the store is away
 // nobody else can have its keys.
 //
+// A limit is for all instances together. Who was told of it tells the keeper of the target's slots, which
+// sees all that goes there; see package permit.
+//
 // Lock order: the Registry's lock is a leaf.
 package standing
 
