--- a/soak/changes.go
+++ b/soak/changes.go
@@ -37,6 +37,10 @@
 	stop  chan struct{}
 	wait  sync.WaitGroup
 
+	// random is where changes are drawn from; changing is held while one is made.
+	changing sync.Mutex
+	random   *rand.Rand
+
 	mu sync.Mutex
 	// acknowledged is the newest version.
 	acknowledged uint64
@@ -46,12 +50,11 @@
 // StartChanges changes the rules of a fleet until Stop. What it changes has a random source of its
 // own, so that the faults of a seed stay what they are.
 func StartChanges(f *Fleet, seed uint64) (*Changes, error) {
-	c := &Changes{fleet: f, http: &http.Client{Timeout: askTimeout}, stop: make(chan struct{})}
-	random := rand.New(rand.NewPCG(seed, 1))
-	if err := c.change(random); err != nil {
+	c := &Changes{fleet: f, http: &http.Client{Timeout: askTimeout}, stop: make(chan struct{}), random: rand.New(rand.NewPCG(seed, 1))}
+	if err := c.Change(); err != nil {
 		return nil, err
 	}
-	c.wait.Go(func() { c.changeAll(random) })
+	c.wait.Go(func() { c.changeAll(rand.New(rand.NewPCG(seed, 5))) })
 	for i := range f.instances {
 		c.wait.Go(func() { c.look(i) })
 	}
@@ -85,14 +88,16 @@
 
 func (c *Changes) changeAll(random *rand.Rand) {
 	for c.pause(time.Duration(random.Int64N(int64(changeEvery)))) {
-		if err := c.change(random); err != nil {
+		if err := c.Change(); err != nil {
 			c.found("a change of the rules failed: %v", err)
 		}
 	}
 }
 
-// change puts the next version into force.
-func (c *Changes) change(random *rand.Rand) error {
+// Change puts the next version into force.
+func (c *Changes) Change() error {
+	c.changing.Lock()
+	defer c.changing.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), settleFor)
 	defer cancel()
 	store := platform.NewStore(c.fleet.storeAt)
@@ -106,7 +111,7 @@
 		next := c.acknowledged + 1
 		c.mu.Unlock()
 		next = max(next, current.Version+1)
-		version, err := rulestore.Apply(ctx, store, current.Version, rulestore.Record{Version: next, Author: "soak", Text: rulesOf(next, random)})
+		version, err := rulestore.Apply(ctx, store, current.Version, rulestore.Record{Version: next, Author: "soak", Text: rulesOf(next, c.random)})
 		if errors.Is(err, rulestore.ErrConflict) {
 			// The store came back from a copy since it was read.
 			continue
--- a/soak/places.go
+++ b/soak/places.go
@@ -60,8 +60,11 @@
 	of map[string]bool
 }
 
-// writeAgain writes all evacuations again that the store may have lost, or found again.
+// writeAgain writes again what the store may have lost, or found again: the rules and all evacuations.
 func (s *soak) writeAgain() {
+	if err := s.changes.Change(); err != nil {
+		s.Progress("seed %d: the rules were not written again: %v", s.Seed, err)
+	}
 	s.asked.mu.Lock()
 	defer s.asked.mu.Unlock()
 	for name, inForce := range s.asked.of {
--- a/soak/returns.go
+++ b/soak/returns.go
@@ -17,8 +17,9 @@
 	returnMost  = 7 * time.Second
 )
 
-// startReturns has the store be away for a moment and come back from a copy, again and again. Evacuations
-// are written again, as operators do; instances and targets write theirs. The returned function ends that.
+// startReturns has the store be away for a moment and come back from a copy, again and again. Rules and
+// evacuations are written again, as operators do; instances and targets write theirs. The returned function
+// ends that.
 // It draws from numbers of its own.
 func (s *soak) startReturns() (finish func()) {
 	return during(func(stop <-chan struct{}) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,7 @@
 	Options
 	fleet   *Fleet
 	callers *Callers
+	changes *Changes
 	random  *rand.Rand
 	// pending are the ends of faults.
 	pending sync.WaitGroup
@@ -83,6 +84,7 @@
 		s.callers.Finish()
 		return nil, err
 	}
+	s.changes = changes
 	leaving := s.startLeaving()
 	evacuations := s.startEvacuations()
 	limits := s.startLimits()
