--- a/coordination/lead/stored.go
+++ b/coordination/lead/stored.go
@@ -15,7 +15,7 @@
 type stored struct {
 	// era is the store's as of the reading.
 	era uint64
-	// ledBefore says that this instance knows of a holder of the lease.
+	// ledBefore says that this instance knew of a holder of the lease before it read this.
 	ledBefore    bool
 	lease        lease.Row
 	leaseVersion uint64
@@ -90,13 +90,11 @@
 	c.neverLed = s.lease.Term == 0
 	// A write of ours whose answer was lost may have taken effect after all.
 	ours := s.current() && s.lease.Holder == c.config.Self.ID
-	if !s.current() {
-		c.setLeader(lease.Row{})
-	} else if !free && !ours {
-		c.setLeader(s.lease)
-	} else {
-		c.setLeader(lease.Row{})
+	leader := lease.Row{}
+	if s.current() && !free && !ours {
+		leader = s.lease
 	}
+	c.setLeader(leader)
 	c.mu.Unlock()
 	if !wanted || !free && !ours || c.leavesToSeeds() {
 		return nil, nil
