--- a/coordination/standing/standing_test.go
+++ b/coordination/standing/standing_test.go
@@ -102,4 +102,19 @@
 		r.Report([]string{"t", "u"})
 		Expect(r.Leaving(all)).To(Equal([]string{"t", "u"}))
 	})
+
+	It("are limits for all instances, with the age of the word, until a target names none", func() {
+		Expect(r.HeardLimit("a", 0)).To(BeZero())
+		Expect(r.HeardLimit("a", 1.5)).To(BeZero())
+		c.pass(time.Second)
+		r.HeardLimit("b", 3)
+		Expect(r.Limits(all)).To(ConsistOf(
+			standing.Limit{Target: "a", PerSecond: 1.5, Age: time.Second}, standing.Limit{Target: "b", PerSecond: 3},
+		))
+		Expect(r.Limits(none)).To(BeEmpty())
+		Expect(r.HeardLimit("a", 0)).To(Equal(1.5))
+		Expect(r.Limited("a")).To(BeFalse())
+		Expect(r.Limited("b")).To(BeTrue())
+		Expect(r.Avoid()).To(BeEmpty())
+	})
 })
