Add a switch for decisions where kinds of requests compete

Callers of a more urgent kind are refused while a less urgent one waits within an aim several times as long. The decisions for that must not change deployments whose kinds cannot wait for each other.

A service is contended if a rule of it is less urgent than another one and has an aim at least twice as long.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/contention"
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lead"
@@ -87,6 +88,7 @@
 	// settings may change it.
 	grace      atomic.Int64
 	budget     *front.RetryBudget
+	contention contention.Switch
 	reload     reloader
 	cancelRun  context.CancelFunc
 	background sync.WaitGroup
@@ -150,6 +152,7 @@
 }
 
 func (i *Instance) build() {
+	i.contention.Set(i.settings.Contention.Mode)
 	i.board = view.NewBoard(i.clock)
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
--- a/instance/reload.go
+++ b/instance/reload.go
@@ -82,5 +82,6 @@
 	r.current = next
 	i.budget.Configure(front.RetryBudgetConfig{Ratio: next.Retries.Ratio, Slack: next.Retries.Slack, Window: time.Duration(next.Retries.Window)})
 	i.grace.Store(int64(next.Grace))
+	i.contention.Set(next.Contention.Mode)
 	i.log.Event("reload", "changed", true, "needs_restart", needsRestart)
 }
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,9 @@
 	rules    []*compiledRule
 	index    *index
 	warnings Mistakes
+	// contended holds the contended services; see Contended.
+	contendedOnce sync.Once
+	contended     map[string]bool
 }
 
 // AddWarnings adds mistakes in services or rules that could not be used, while the rest of the set
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/contention"
 )
 
 // Duration is a time.Duration that is written as text, such as "250ms" or "2s".
@@ -69,6 +70,13 @@
 	// answers queries without one, and accepts no changes.
 	OperatorToken string  `toml:"operator_token" comment:"Token that operators must give, at least 16 characters; empty: the operators' address answers questions and takes no changes."`
 	Retries       Retries `toml:"retries" comment:"What all instances together may send again."`
+	// Contention says where the decisions for competing kinds of requests are in effect.
+	Contention Contention `toml:"contention" comment:"Decisions where kinds of requests compete for the same targets."`
+}
+
+// Contention says where the decisions for competing kinds of requests are in effect.
+type Contention struct {
+	Mode contention.Mode `toml:"mode" comment:"\"off\", \"auto\" (where a less urgent rule of a service has an aim at least twice as long as a more urgent one) or \"on\"."`
 }
 
 // Retries is the retry budget of a service, over all instances together.
@@ -89,9 +97,10 @@
 		Platform: "127.0.0.1:8090",
 		Seeds:    []string{},
 		Grace:    Duration(6 * time.Second), HoldMax: Duration(10 * time.Second), Drain: Duration(2 * time.Second),
-		MaxBody: 64 << 20,
-		Rules:   RulesFromStore,
-		Retries: Retries{Ratio: 0.2, Slack: 60, Window: Duration(10 * time.Second)},
+		MaxBody:    64 << 20,
+		Rules:      RulesFromStore,
+		Retries:    Retries{Ratio: 0.2, Slack: 60, Window: Duration(10 * time.Second)},
+		Contention: Contention{Mode: contention.ModeOff},
 	}
 }
 
@@ -190,6 +199,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window <= 0 {
 		invalid("retries", "ratio and slack must not be negative, and window must be positive")
 	}
+	if !s.Contention.Mode.Valid() {
+		invalid("contention.mode", "is %q; write %q, %q or %q", s.Contention.Mode, contention.ModeOff, contention.ModeAuto, contention.ModeOn)
+	}
 	return errors.Join(errs...)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,7 @@
 		Entry("rules", `rules = "nobody"`, "rules: is \"nobody\""),
 		Entry("hold", `hold_max = "10ms"`, "hold_max: is 10ms"),
 		Entry("retries", "[retries]\nratio = -0.1", "retries: ratio"),
+		Entry("contention", "[contention]\nmode = \"maybe\"", `contention.mode: is "maybe"; write "off", "auto" or "on"`),
 	)
 
 	It("are rejected with all mistakes at once", func() {
