--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -313,6 +313,17 @@
 		Expect(string(f.upstream.requests[0].Body)).To(Equal("body"))
 	})
 
+	// Guards against requests that may run once being served beside others of their connection.
+	It("is idempotent if its rule says so", func() {
+		f := newFixture()
+		idempotent := func(method, path string) bool { return f.h.Idempotent(httptest.NewRequest(method, path, nil)) }
+		Expect(idempotent("GET", "/k/a")).To(BeTrue())
+		Expect(idempotent("POST", "/k/a")).To(BeFalse())
+		Expect(idempotent("GET", "/elsewhere")).To(BeFalse())
+		f.h.board = view.NewBoard(clock.System{})
+		Expect(idempotent("GET", "/k/a")).To(BeFalse())
+	})
+
 	It("gets the response of a rule that refuses", func() {
 		w := newFixture().do("GET", "/no")
 		Expect(w.Code).To(Equal(403))
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -16,6 +16,7 @@
 	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
@@ -140,6 +141,17 @@
 	res.refusal.write(w)
 }
 
+// Idempotent says whether the rule that matches the request declares it idempotent. It is false while
+// no rules are known.
+func (h *Handler) Idempotent(r *http.Request) bool {
+	set := h.board.Snapshot().Rules
+	if set == nil {
+		return false
+	}
+	decision := set.Decide(&rules.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, DataCentre: h.config.DataCentre})
+	return decision.Rule != nil && decision.Rule.Then.Idempotent
+}
+
 // result is what the caller gets: the response of a target or, if that is nil, the refusal.
 type result struct {
 	response *upstream.Response
