Pipeline some requests in the soak

Four further callers send up to six look-ups and bookings on a connection without waiting for responses, and at times close it at once. Responses must have the IDs of the requests in their order, and requests behind a response that closes the connection must not run. Two of three instances serve pipelined requests concurrently, the third as by default.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -61,6 +63,14 @@
 	keyCount = 60
 	// callerTimeout is how long a caller waits for a response.
 	callerTimeout = 3 * time.Second
+	// pipeliningCount is the number of further callers, which pipeline.
+	pipeliningCount = 4
+	// maxPipelined is the largest number of requests that are pipelined together.
+	maxPipelined = 6
+	// pipelinedBookings is one in how many pipelined requests is a booking, and leavingCallers one in
+	// how many times the caller closes the connection without reading the responses.
+	pipelinedBookings = 8
+	leavingCallers    = 10
 	// callerPause is the time from the response to a request to the next request of the same caller.
 	callerPause = 10 * time.Millisecond
 )
@@ -74,6 +84,9 @@
 	for n := range callerCount {
 		c.running.Go(func() { c.run(n) })
 	}
+	for n := range pipeliningCount {
+		c.running.Go(func() { c.runPipelining(n) })
+	}
 	return c
 }
 
@@ -93,6 +106,98 @@
 	}
 }
 
+// runPipelining pipelines requests until the callers are stopped.
+func (c *Callers) runPipelining(n int) {
+	for i := 0; ; i++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(callerPause):
+		}
+		requests := make([]pipelinedRequest, 1+rand.IntN(maxPipelined))
+		for k := range requests {
+			requests[k] = pipelinedRequest{fmt.Sprintf("p%d-%d-%d", n, i, k), rand.IntN(keyCount), rand.IntN(pipelinedBookings) == 0}
+		}
+		results := callPipelined(c.addresses[rand.IntN(len(c.addresses))], requests, rand.IntN(leavingCallers) == 0)
+		c.mu.Lock()
+		for k, r := range requests {
+			c.results[r.id] = results[k]
+		}
+		c.mu.Unlock()
+	}
+}
+
+// pipelinedRequest is a request for a key: a booking or a look-up.
+type pipelinedRequest struct {
+	id      string
+	key     int
+	booking bool
+}
+
+// text returns the request as it is sent. A look-up has no body, so that it can be served beside others.
+func (r pipelinedRequest) text(address string) string {
+	headers := platform.Headers()
+	common := fmt.Sprintf("/household-%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		r.key, address, headers.RequestID, r.id, headers.Timeout, callerTimeout.Milliseconds())
+	if r.booking {
+		return fmt.Sprintf("POST /bookings%sContent-Length: %d\r\n\r\n%s", common, len(r.id), r.id)
+	}
+	return "GET /plumbers" + common + "\r\n"
+}
+
+// callPipelined sends requests on a connection of their own without waiting for responses, the second
+// half of them a moment later, and returns their results. If leave is set, the connection is closed
+// before any response is read.
+func callPipelined(address string, requests []pipelinedRequest, leave bool) []CallResult {
+	results := make([]CallResult, len(requests))
+	for k, r := range requests {
+		results[k] = CallResult{Outcome: Unknown, Idempotent: !r.booking, Instance: address, Sent: time.Now()}
+	}
+	conn, err := net.DialTimeout("tcp", address, callerTimeout)
+	if err != nil {
+		return results
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(callerTimeout)); err != nil {
+		return results
+	}
+	for k, r := range requests {
+		if k == len(requests)/2 {
+			time.Sleep(time.Duration(rand.Int64N(int64(callerPause))))
+		}
+		if _, err := io.WriteString(conn, r.text(address)); err != nil {
+			// Responses to the requests in front may have arrived.
+			break
+		}
+	}
+	if leave {
+		return results
+	}
+	reader := bufio.NewReader(conn)
+	for k, r := range requests {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return results
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return results
+		}
+		results[k].classify(resp, string(body), r.id)
+		// checkLimits compares the time with that of other limits, and this response may have waited for
+		// those in front of it.
+		results[k].Limited = false
+		if resp.Close {
+			// The requests behind a response that closes the connection have not been read.
+			for behind := k + 1; behind < len(results); behind++ {
+				results[behind].Outcome = NotExecuted
+			}
+			return results
+		}
+	}
+	return results
+}
+
 // Call makes one request and returns its result. The request is a booking, or a look-up, which is
 // idempotent.
 func (c *Callers) Call(address, id string, key int, booking bool) CallResult {
@@ -129,18 +234,23 @@
 	if err != nil {
 		return result
 	}
-	result.Received = time.Now()
-	result.Leaving = resp.Header.Get(platform.Headers().Leaving) != ""
-	result.Limited = resp.Header.Get(platform.Headers().Limit) != ""
-	result.Status = resp.StatusCode
+	result.classify(resp, string(body), id)
+	return result
+}
+
+// classify sets the result from the complete response to the request with the ID.
+func (r *CallResult) classify(resp *http.Response, body, id string) {
+	r.Received = time.Now()
+	r.Leaving = resp.Header.Get(platform.Headers().Leaving) != ""
+	r.Limited = resp.Header.Get(platform.Headers().Limit) != ""
+	r.Status = resp.StatusCode
 	switch signature := resp.Header.Get(platform.Headers().Signature); {
 	case signature != "":
-		result.Outcome = Answered
-		result.OwnResponse = strings.HasSuffix(signature, "."+id) && (idempotent || strings.Contains(string(body), "with "+id+"\n"))
+		r.Outcome = Answered
+		r.OwnResponse = strings.HasSuffix(signature, "."+id) && (r.Idempotent || strings.Contains(body, "with "+id+"\n"))
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
-		result.Outcome = NotExecuted
+		r.Outcome = NotExecuted
 	}
-	return result
 }
 
 // Count returns the number of requests with each outcome so far.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -263,6 +263,10 @@
 	settings := filepath.Join(d.dir, name+".toml")
 	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n",
 		name, dataCentreName(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address())
+	// Every third instance serves connections without pipelining, as by default.
+	if i%3 != 2 {
+		text += "[connections]\npipeline_depth = 8\n"
+	}
 	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
 		return fmt.Errorf("soak: write the settings: %w", err)
 	}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,7 +11,8 @@
 // The checks are:
 //   - A request that must not run twice ran at most once.
 //   - A request that was refused as not executed did not run.
-//   - A caller got the response to its own request.
+//   - A caller got the response to its own request, with pipelining in the order of its requests.
+//   - A request behind a response that closed the connection did not run.
 //   - For each key the fences of the runs never decrease, so that no previous owner began work after
 //     a later one.
 //   - An instance that has forwarded a response that reports a leaving target sends that target no
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,6 +107,46 @@
 	})
 })
 
+var _ = Describe("a caller that pipelines", func() {
+	// respond serves one connection with responses signed for the IDs, and returns the results of as
+	// many requests, a, b and c.
+	respond := func(close string, ids ...string) []CallResult {
+		GinkgoHelper()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			for _, id := range ids {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s: s.%s\r\n%s\r\n", platform.Headers().Signature, id, close)
+			}
+			// Closing with unread requests would reset the connection and lose responses.
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		return callPipelined(l.Addr().String(), []pipelinedRequest{{id: "a"}, {id: "b"}, {id: "c"}}, false)
+	}
+
+	// Guards against a check that accepts responses out of order.
+	It("takes responses in the order of its requests for its own", func() {
+		for _, result := range respond("", "a", "b", "c") {
+			Expect(result.Outcome).To(Equal(Answered))
+			Expect(result.OwnResponse).To(BeTrue())
+		}
+		swapped := respond("", "a", "c", "b")
+		Expect([]bool{swapped[0].OwnResponse, swapped[1].OwnResponse, swapped[2].OwnResponse}).To(Equal([]bool{true, false, false}))
+	})
+
+	// Guards against a check that accepts runs of requests behind a response that closes the connection.
+	It("takes requests behind a closing response for not executed", func() {
+		results := respond("Connection: close\r\n", "a")
+		Expect([]Outcome{results[0].Outcome, results[1].Outcome, results[2].Outcome}).To(Equal([]Outcome{Answered, NotExecuted, NotExecuted}))
+	})
+})
+
 var _ = Describe("the check of requests", func() {
 	run := func(id string, key int, fence uint64, startedAt int64) standin.Record {
 		return standin.Record{Request: id, Target: "t", Key: key, Fence: fence, StartedAt: startedAt}
