Close connections of callers that pipeline without a reset

When the server closes a connection after a response, requests behind it may not have been read. The kernel then resets the connection, and the caller loses the end of a response that it has not received yet. The caller counts the requests behind it as not read, but must get the response itself.

After a response on a connection on which the caller has pipelined, the sending direction is closed first, and what arrives is read and dropped for 0.5 s, as net/http does after some errors.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,9 @@
 	maxReadAhead = 64 << 10
 	// readSize is the size of a read ahead. A typical pipelined head has 200 to 400 bytes.
 	readSize = 2 << 10
+	// lingerTime is how long a connection that the server closes after a response is still read, as in
+	// net/http after some errors.
+	lingerTime = 500 * time.Millisecond
 )
 
 // errConnectionFailed is the error of responses after a write error or a panic of another handler.
@@ -61,6 +65,12 @@
 	scanned int
 	// readErr is the end of the connection: no request in buf is served after it.
 	readErr error
+	// pipelined says that bytes behind a request have arrived on this connection.
+	pipelined bool
+	// linger says that more requests may be under way while the server closes the connection after a
+	// response. It is set from the end of a response until the server reads again. lingering says that
+	// Close has closed the sending direction and will close the other one.
+	linger, lingering bool
 	// interrupted says that the server has ended its background read by a deadline in the past. It is
 	// changed while mu is held.
 	interrupted atomic.Bool
@@ -102,6 +112,7 @@
 		c.state = inHead
 	}
 	c.mu.Lock()
+	c.linger = false
 	if c.readErr != nil {
 		defer c.mu.Unlock()
 		return 0, c.readErr
@@ -121,6 +132,7 @@
 	if n < received {
 		c.mu.Lock()
 		c.buf = append(c.buf, b[n:received]...)
+		c.pipelined = true
 		c.mu.Unlock()
 	}
 	return n, nil
@@ -219,6 +231,7 @@
 		n, err := c.Conn.Read(b[:min(space, len(b))])
 		c.mu.Lock()
 		c.buf = append(c.buf, b[:n]...)
+		c.pipelined = c.pipelined || n > 0
 		if isTimeout(err) {
 			c.mu.Unlock()
 			return err
@@ -260,15 +273,31 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close also ends a background read that waits for space in the buffer.
+// Close also ends a background read that waits for space in the buffer. After a response to a caller
+// that pipelines it closes only the sending direction at first: closing a connection with unread bytes
+// resets it, and the caller would lose the end of the response.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	if c.lingering {
+		c.mu.Unlock()
+		return nil
+	}
+	linger := c.linger && c.readErr == nil
+	c.lingering = linger
 	if c.readErr == nil {
 		c.readErr = net.ErrClosed
 	}
 	c.changed.Broadcast()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	if !linger || c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return c.Conn.Close()
+	}
+	go func() {
+		// The error is the end of the connection or of the time.
+		_, _ = io.Copy(io.Discard, c.Conn)
+		c.Conn.Close()
+	}()
+	return nil
 }
 
 // CloseWrite lets the server close its direction first after a response to a head that is too large.
@@ -279,6 +308,14 @@
 	return errors.ErrUnsupported
 }
 
+// serveAlone serves a request that no other may be served beside.
+func (c *conn) serveAlone(w http.ResponseWriter, r *http.Request) {
+	c.p.handler.ServeHTTP(w, r)
+	c.mu.Lock()
+	c.linger = c.pipelined
+	c.mu.Unlock()
+}
+
 // serve serves the request that the server has read, and those behind it that are started before the
 // last response of the run begins.
 func (c *conn) serve(w http.ResponseWriter, r *http.Request) {
@@ -313,6 +350,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lookahead = false
+	c.linger = c.pipelined && c.failure == nil
 	clear(c.queue)
 	c.first = exchange{}
 	if c.cancel != nil {
--- a/transport/pipeline/pipeline.go
+++ b/transport/pipeline/pipeline.go
@@ -73,9 +73,12 @@
 // ServeHTTP implements http.Handler.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, wrapped := r.Context().Value(connKey{}).(*conn)
-	if !wrapped || c.state != complete || !pipelinable(r) {
+	switch {
+	case !wrapped:
 		p.handler.ServeHTTP(w, r)
-		return
+	case c.state != complete || !pipelinable(r):
+		c.serveAlone(w, r)
+	default:
+		c.serve(w, r)
 	}
-	c.serve(w, r)
 }
--- a/transport/pipeline/pipeline_test.go
+++ b/transport/pipeline/pipeline_test.go
@@ -77,6 +77,9 @@
 	switch r.URL.Query().Get("do") {
 	case "close":
 		w.Header().Set("Connection", "close")
+	case "close-large":
+		w.Header().Set("Connection", "close")
+		text = strings.Repeat("x", 8<<20)
 	case "empty":
 		w.WriteHeader(http.StatusNoContent)
 		return
@@ -104,20 +107,6 @@
 	request *http.Request
 }
 
-// capture passes on the connections that it accepts.
-type capture struct {
-	net.Listener
-	accepted chan *conn
-}
-
-func (l capture) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if wrapped, ok := c.(*conn); ok {
-		l.accepted <- wrapped
-	}
-	return c, err
-}
-
 // serve starts a server: the standard one if depth is 0.
 func serve(h Handler, depth int) (*http.Server, string, chan *conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -129,7 +118,12 @@
 	if depth > 0 {
 		p := New(h, depth)
 		p.Configure(server)
-		l = capture{p.Listen(l), accepted}
+		inner := server.ConnContext
+		server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			accepted <- c.(*conn)
+			return inner(ctx, c)
+		}
+		l = p.Listen(l)
 	}
 	go server.Serve(l)
 	return server, address, accepted
@@ -313,6 +307,22 @@
 		Expect(f.starts()).To(HaveLen(3))
 	})
 
+	// Guards against a reset that cuts off the response because requests behind it have not been read.
+	DescribeTable("do not cut off a response that closes the connection", func(first string) {
+		f := newFixture(8)
+		go func() { _, _ = io.WriteString(f.conn, first+strings.Repeat(get("/once"), 8000)) }()
+		time.Sleep(200 * time.Millisecond)
+		resp, err := http.ReadResponse(f.reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.CopyN(io.Discard, resp.Body, 6<<20)).To(BeEquivalentTo(6 << 20))
+		time.Sleep(200 * time.Millisecond)
+		Expect(io.Copy(io.Discard, resp.Body)).To(BeEquivalentTo(2 << 20))
+		f.expectEnd()
+		Expect(f.starts()).To(HaveLen(1))
+	},
+		Entry("alone", get("/a?do=close-large")),
+		Entry("with a body", "POST /a?do=close-large HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nb"))
+
 	// Guards against requests that are lost in a shutdown, or taken after its beginning.
 	It("are answered when the server shuts down", func() {
 		f := newFixture(8)
