Add a budget for memory held for callers and targets

Responses to slow callers are held whole in memory, and nothing bounds how many. membudget decides by values whether a request fits beside those that are held, and when there will be room otherwise.

Nothing uses the package yet.

--- /dev/null
+++ b/transport/membudget/membudget_test.go
@@ -0,0 +1,206 @@
+package membudget
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/clock"
+)
+
+func TestMembudget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Membudget")
+}
+
+var _ = DescribeTable("a decision",
+	func(l Load, a Ask, want Decision) {
+		l.Limit, l.ConnectionLimit = 1000, 200
+		Expect(Decide(l, a)).To(Equal(want))
+	},
+	Entry("admits into an empty budget", Load{}, Ask{Known: 10, Expected: 20}, Decision{Admitted: true}),
+	Entry("admits a small request beside large ones", Load{Held: 800}, Ask{Expected: 10}, Decision{Admitted: true}),
+	Entry("refuses a large one there", Load{Held: 800, ReleaseRate: 100}, Ask{Expected: 100}, Decision{RetryAfter: 1500 * time.Millisecond}),
+	Entry("tells a later time after other refusals", Load{Held: 800, ReleaseRate: 100, Promised: 200}, Ask{Expected: 100}, Decision{RetryAfter: 3500 * time.Millisecond}),
+	Entry("tells the longest time while nothing is released", Load{Held: 1000}, Ask{Expected: 1}, Decision{RetryAfter: maxRetryAfter}),
+	Entry("refuses beyond the share of the connection", Load{Held: 400, ConnectionHeld: 200, ReleaseRate: 1000}, Ask{Expected: 10}, Decision{RetryAfter: minRetryAfter}),
+	Entry("admits the only request of a connection", Load{Held: 400}, Ask{Expected: 300}, Decision{Admitted: true}),
+	Entry("admits an estimate above the limit alone", Load{}, Ask{Known: 10, Expected: 5000}, Decision{Admitted: true}),
+	Entry("refuses an estimate above the limit beside others", Load{Held: 1, ReleaseRate: 1}, Ask{Expected: 5000}, Decision{RetryAfter: time.Second}),
+	Entry("says that a body above the limit can never be admitted", Load{}, Ask{Known: 1001}, Decision{TooLarge: true}),
+)
+
+type manualClock struct{ now clock.Instant }
+
+func (c *manualClock) Now() clock.Instant { return c.now }
+
+var _ = Describe("a budget", func() {
+	It("never refuses a correction, and counts it against further requests", func() {
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000})
+		r, d := b.Reserve("a", Ask{Expected: 10})
+		Expect(d.Admitted).To(BeTrue())
+		r.Resize(5000)
+		_, d = b.Reserve("b", Ask{Expected: 1})
+		Expect(d).To(Equal(Decision{RetryAfter: maxRetryAfter}))
+		r.Release()
+		r.Release()
+		Expect(b.Held()).To(BeZero())
+		Expect(b.byConnection).To(BeEmpty())
+		_, d = b.Reserve("b", Ask{Expected: 1})
+		Expect(d.Admitted).To(BeTrue())
+	})
+
+	// Guards against refusals of running requests, and against lost counts, when a reload of the
+	// settings turns the budget off and on.
+	It("admits everything while it is off", func() {
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000})
+		r, _ := b.Reserve("a", Ask{Known: 100})
+		b.Configure(Limits{})
+		Expect(r.Grow(Ask{Known: 5000}).Admitted).To(BeTrue())
+		none, d := b.Reserve("a", Ask{Known: 5000})
+		Expect(d.Admitted).To(BeTrue())
+		Expect(none.Size()).To(BeZero())
+		none.Release()
+		r.Release()
+		Expect(b.Held()).To(BeZero())
+		Expect((*Budget)(nil).Enabled()).To(BeFalse())
+	})
+})
+
+// loadKind is a kind of request of the seeded load.
+type loadKind struct {
+	perSecond       float64
+	mean, max       int64
+	running, writes time.Duration
+}
+
+// loadResult counts the requests of a kind. retried counts the requests that came back at the time
+// that their refusal named, cameInTime those of them that were admitted then.
+type loadResult struct {
+	requests, admitted, retried, cameInTime int
+}
+
+// loadEvent is something that happens at a time of the load.
+type loadEvent struct {
+	at  time.Duration
+	run func()
+}
+
+// simulateLoad runs kinds of requests against a budget for 60 s. Responses have exponentially
+// distributed sizes, which are known when the request has run; then they are written. A refused
+// caller comes back once, at the time that it was told. It returns the results and the largest share
+// of the limit that was held.
+func simulateLoad(seed uint64, limit int64, kinds ...loadKind) (results []loadResult, highest float64) {
+	c := &manualClock{}
+	b := New(c, Limits{Held: limit, Connection: limit / 4})
+	random := rand.New(rand.NewPCG(seed, 0))
+	var events []loadEvent
+	after := func(d time.Duration, run func()) {
+		e := loadEvent{time.Duration(c.now) + d, run}
+		n, _ := slices.BinarySearchFunc(events, e, func(a, b loadEvent) int { return cmp.Compare(a.at, b.at) })
+		events = slices.Insert(events, n, e)
+	}
+	results = make([]loadResult, len(kinds))
+	connection := 0
+	for n, k := range kinds {
+		count := &results[n]
+		var send func(retry bool)
+		send = func(retry bool) {
+			connection++
+			r, d := b.Reserve(string(rune(connection)), Ask{Expected: k.mean, Returning: retry})
+			if d.Admitted {
+				count.admitted++
+				if retry {
+					count.cameInTime++
+				}
+				size := min(k.max, int64(random.ExpFloat64()*float64(k.mean)))
+				after(k.running, func() { r.Resize(size) })
+				after(k.running+k.writes, r.Release)
+			} else if !retry {
+				count.retried++
+				after(d.RetryAfter, func() { send(true) })
+			}
+		}
+		var arrive func()
+		arrive = func() {
+			count.requests++
+			send(false)
+			after(time.Duration(random.ExpFloat64()/k.perSecond*float64(time.Second)), arrive)
+		}
+		arrive()
+	}
+	for len(events) > 0 && events[0].at < time.Minute {
+		e := events[0]
+		events = events[1:]
+		c.now = clock.Instant(e.at)
+		e.run()
+		highest = max(highest, float64(b.Held())/float64(limit))
+	}
+	return results, highest
+}
+
+var _ = Describe("a seeded load of many small requests beside large ones near the limit", func() {
+	small := loadKind{perSecond: 100, mean: 21 << 10, max: 40 << 10, running: 100 * time.Millisecond, writes: 5 * time.Millisecond}
+	large := func(writes time.Duration) loadKind {
+		return loadKind{perSecond: 30, mean: 106 << 10, max: 556 << 10, running: 200 * time.Millisecond, writes: writes}
+	}
+
+	// Guards against large responses to slow callers that use up the memory of small requests, and
+	// against a Retry-After at which new requests have taken the room that it promised.
+	DescribeTable("admits the small ones, and large ones as far as there is room", func(writes time.Duration, largeShare, inTimeShare float64) {
+		for seed := range uint64(3) {
+			results, highest := simulateLoad(seed, 8<<20, small, large(writes))
+			Expect(results[0].retried).To(BeZero())
+			Expect(highest).To(BeNumerically("<=", 1))
+			Expect(float64(results[1].admitted) / float64(results[1].requests)).To(BeNumerically(">", largeShare))
+			Expect(float64(results[1].cameInTime)).To(BeNumerically(">=", inTimeShare*float64(results[1].retried)))
+		}
+	},
+		Entry("with fast callers", 500*time.Millisecond, 0.99, 0.0),
+		Entry("with slow callers, near the limit", 1500*time.Millisecond, 0.9, 0.6),
+		Entry("with slow callers and 1.2 times the load", 3*time.Second, 0.5, 0.4),
+		Entry("with slower callers and twice the load", 5*time.Second, 0.3, 0.2),
+	)
+})
+
+var _ = Describe("a body", func() {
+	read := func(sent string, length, limit int64) (body []byte, sizes []int64, err error) {
+		body, err = ReadBody(strings.NewReader(sent), length, limit, func(size int64) error {
+			sizes = append(sizes, size)
+			return nil
+		})
+		return body, sizes, err
+	}
+
+	It("of known length is read into one buffer of that size", func() {
+		sent := strings.Repeat("x", 90_000)
+		body, sizes, err := read(sent, 90_000, 1<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(sent))
+		Expect(sizes).To(Equal([]int64{90_000}))
+	})
+
+	// Guards against a length that is wrong by far and allocates that much at once.
+	It("gets larger buffers only as it arrives", func() {
+		_, sizes, err := read(strings.Repeat("x", 300<<10), 64<<20, 64<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sizes).To(Equal([]int64{256 << 10, 1 << 20}))
+	})
+
+	It("of unknown length is read up to the limit", func() {
+		for _, length := range []int{0, 1, 4096, 9999, 10_000} {
+			body, _, err := read(strings.Repeat("x", length), -1, 10_000)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(HaveLen(length))
+		}
+		_, sizes, err := read(strings.Repeat("x", 10_001), -1, 10_000)
+		Expect(err).To(MatchError(ErrTooLarge))
+		Expect(slices.Max(sizes)).To(Equal(int64(10_001)))
+	})
+})
