Read responses of known length into one buffer, send long bodies without a copy

io.ReadAll grew the buffer from 512 bytes by a quarter each time, and the request body was copied behind the head. A response with a Content-Length is now read into a buffer of that size: at most 256 KiB before anything has arrived, then four times what has, so that a wrong length does not allocate 64 MB. The size of each buffer is reported to the sender of the request.

go test ./transport/upstream passes.

--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/membudget"
 )
 
 // Errors of an attempt.
@@ -70,6 +71,9 @@
 	Body   []byte
 	// Idempotent says that the request may be executed twice.
 	Idempotent bool
+	// OnBuffer, if not nil, is called with the size of the buffer for the response, in bytes, each
+	// time one is allocated.
+	OnBuffer func(size int64)
 }
 
 // Response is a target's complete response.
@@ -164,8 +168,8 @@
 }
 
 func (x *exchange) run(ctx context.Context) (*Response, error) {
-	req, text := x.encode(ctx)
-	if sent, err := x.write(text); err != nil {
+	req, head := x.encode(ctx)
+	if sent, err := x.write(head, x.request.Body); err != nil {
 		if x.conn.reused {
 			x.client.pool.recordLostOnIdle(x.target.ID)
 		}
@@ -182,13 +186,13 @@
 		return nil, x.wrapOutcomeUnknown(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := x.readBody(resp)
+	if errors.Is(err, membudget.ErrTooLarge) {
+		return nil, fmt.Errorf("%w: the response body exceeds the size limit", ErrOutcomeUnknown)
+	}
 	if err != nil {
 		return nil, x.wrapOutcomeUnknown(err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, fmt.Errorf("%w: the response body exceeds the size limit", ErrOutcomeUnknown)
-	}
 	x.checkReusable(resp)
 	return x.interpret(resp, body)
 }
@@ -200,11 +204,25 @@
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 }
 
-// encode returns the request as it is written to the connection, and as http.ReadResponse needs it.
+func (x *exchange) readBody(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		// The Content-Length of a response to HEAD is not that of a body.
+		return nil, nil
+	}
+	return membudget.ReadBody(resp.Body, resp.ContentLength, maxResponseBytes, func(size int64) error {
+		if x.request.OnBuffer != nil {
+			x.request.OnBuffer(size)
+		}
+		return nil
+	})
+}
+
+// encode returns the head of the request as it is written to the connection, and the request as
+// http.ReadResponse needs it.
 func (x *exchange) encode(ctx context.Context) (*http.Request, []byte) {
 	r := x.request
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(len(r.Body), maxSyncWriteBytes))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	// Writing to a bytes.Buffer does not fail.
 	_ = r.Header.Write(&b)
@@ -217,7 +235,6 @@
 		fmt.Fprintf(&b, "Content-Length: %s\r\n", strconv.Itoa(len(r.Body)))
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	// http.ReadResponse uses only the method.
 	return &http.Request{Method: r.Method}, b.Bytes()
 }
@@ -225,17 +242,20 @@
 // write sends the request and returns the number of bytes that the connection has accepted. The
 // rest of a long request is written while the response is being read: a target may respond before
 // it has read the whole request, and not read on until its response has been read.
-func (x *exchange) write(text []byte) (int, error) {
-	if len(text) <= maxSyncWriteBytes {
-		return x.conn.Write(text)
-	}
-	sent, err := x.conn.Write(text[:maxSyncWriteBytes])
-	if err != nil {
+//
+// A short body is appended to the head, so that one write sends both. A long one is not copied.
+func (x *exchange) write(head, body []byte) (int, error) {
+	appended := max(0, min(maxSyncWriteBytes-len(head), len(body)))
+	head, body = append(head, body[:appended]...), body[appended:]
+	first := head[:min(len(head), maxSyncWriteBytes)]
+	sent, err := x.conn.Write(first)
+	if err != nil || len(first) == len(head) && len(body) == 0 {
 		return sent, err
 	}
+	rest := net.Buffers{head[len(first):], body}
 	x.writeDone = make(chan error, 1)
 	go func() {
-		_, err := x.conn.Write(text[maxSyncWriteBytes:])
+		_, err := rest.WriteTo(x.conn.Conn)
 		x.writeDone <- err
 	}()
 	return sent, nil
