Do not report a request as not executed after a target has failed

When a target had responded with a status from 500 on, an idempotent request without a key was retried. If the retry was then refused, for example because all slots were taken, the caller got 503, which promises that the request was not executed. It gets 502 now.

The new spec got 503 before the change; go test ./transport/front passes.

--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -108,8 +108,10 @@
 	case err == nil && resp.Status < http.StatusInternalServerError:
 		return result{response: resp}, false
 	case err == nil:
-		// The target itself failed: the request was executed.
+		// The target itself failed: the request was executed. If the retry is refused, the caller
+		// must not be told that it was not.
 		retry := c.then.Idempotent && !c.keyed && c.mayRetry(wait)
+		c.outcomeUnknown = c.outcomeUnknown || retry
 		return result{response: resp}, retry
 	case errors.Is(err, upstream.ErrNotSent):
 		c.awaitUpdate(wait, maxUpdateWait)
--- a/transport/front/front_test.go
+++ b/transport/front/front_test.go
@@ -233,6 +233,19 @@
 		Entry("a failure of the target itself", "POST", script{respondFailure, respondOK}, 500, 1),
 	)
 
+	// Guards against a promise that is not true: the target failed while it executed the request, and
+	// the retry got no permit.
+	It("never report a request as not executed after a target has failed", func() {
+		f := newFixture()
+		f.upstream.script = script{respondFailure}
+		f.permits.beforeGrant = func() {
+			f.permits.refuseWith = &permit.RefusedError{Reason: permit.ReasonFull, RetryAfter: time.Second}
+		}
+		w := f.do("GET", "/p")
+		Expect(w.Code).To(Equal(502))
+		Expect(w.Header().Get("Retry-After")).To(BeEmpty())
+	})
+
 	It("release the permit after each attempt", func() {
 		f := newFixture()
 		f.upstream.script = script{targetRefuses, respondOK}
