Reserve memory for each request, and write to slow callers in pieces

Requests reserve their body and the mean response size of their rule before they ask for a permit; without room they are refused at once, 503 memory, not executed. Table [memory] of the settings turns it on (off by default, the deploy template gives the memory of the instance); off, the responses are written as before.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -30,6 +30,7 @@
 	"lycheehall.example/lycheehall/state/store"
 	"lycheehall.example/lycheehall/transport/admin"
 	"lycheehall.example/lycheehall/transport/front"
+	"lycheehall.example/lycheehall/transport/membudget"
 	"lycheehall.example/lycheehall/transport/orders"
 	"lycheehall.example/lycheehall/transport/peers"
 	"lycheehall.example/lycheehall/transport/upstream"
@@ -89,6 +90,7 @@
 	grace      atomic.Int64
 	budget     *front.RetryBudget
 	contention contention.Switch
+	memory     *membudget.Budget
 	reload     reloader
 	cancelRun  context.CancelFunc
 	background sync.WaitGroup
@@ -105,6 +107,7 @@
 		return nil, fmt.Errorf("instance: %w", err)
 	}
 	security := peers.Security{Secret: s.Secret, TLS: tlsConfig}
+	i.memory = membudget.New(i.clock, memoryLimits(s.Memory))
 	peerListener, err := i.listen()
 	if err != nil {
 		return nil, err
@@ -139,10 +142,15 @@
 		}
 		open = append(open, l)
 	}
+	open[0] = membudget.NewListener(open[0], i.memory)
 	i.listeners = [3]net.Listener(open[:3])
 	return open[3], nil
 }
 
+func memoryLimits(m settings.Memory) membudget.Limits {
+	return membudget.Limits{Held: m.HeldBytes(), Connection: m.ConnectionBytes()}
+}
+
 // newStartID returns a random suffix that distinguishes starts of the same instance.
 func newStartID() string {
 	b := make([]byte, 4)
@@ -163,7 +171,7 @@
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
 	i.handler = front.NewHandler(
-		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus},
+		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus, Memory: i.memory},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
--- a/instance/reload.go
+++ b/instance/reload.go
@@ -83,5 +83,6 @@
 	i.budget.Configure(front.RetryBudgetConfig{Ratio: next.Retries.Ratio, Slack: next.Retries.Slack, Window: time.Duration(next.Retries.Window)})
 	i.grace.Store(int64(next.Grace))
 	i.contention.Set(next.Contention.Mode)
+	i.memory.Configure(memoryLimits(next.Memory))
 	i.log.Event("reload", "changed", true, "needs_restart", needsRestart)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,8 +72,26 @@
 	Retries       Retries `toml:"retries" comment:"What all instances together may send again."`
 	// Contention says where the decisions for competing kinds of requests are in effect.
 	Contention Contention `toml:"contention" comment:"Decisions where kinds of requests compete for the same targets."`
+	// Memory limits the memory held for callers and targets.
+	Memory Memory `toml:"memory" comment:"Memory held for request and response bodies."`
 }
 
+// Memory limits the memory held for callers and targets.
+type Memory struct {
+	// LimitMB is the memory of the instance in MiB; 0 turns the budget off.
+	LimitMB float64 `toml:"limit_mb" comment:"Memory of this instance in MiB; 0: bodies are not limited."`
+	// HeldShare is the share of LimitMB for request and response bodies.
+	HeldShare float64 `toml:"held_share" comment:"Share of that for the bodies of requests and responses."`
+	// ConnectionShare is the share of the memory for bodies that one connection of a caller may hold.
+	ConnectionShare float64 `toml:"connection_share" comment:"Share of the memory for bodies that one connection of a caller may hold."`
+}
+
+// HeldBytes returns the limit of the memory for bodies.
+func (m Memory) HeldBytes() int64 { return int64(m.LimitMB * m.HeldShare * (1 << 20)) }
+
+// ConnectionBytes returns the limit of the memory for the bodies of one connection.
+func (m Memory) ConnectionBytes() int64 { return int64(float64(m.HeldBytes()) * m.ConnectionShare) }
+
 // Contention says where the decisions for competing kinds of requests are in effect.
 type Contention struct {
 	Mode contention.Mode `toml:"mode" comment:"\"off\", \"auto\" (where a less urgent rule of a service has an aim at least twice as long as a more urgent one) or \"on\"."`
@@ -101,6 +119,7 @@
 		Rules:      RulesFromStore,
 		Retries:    Retries{Ratio: 0.2, Slack: 60, Window: Duration(10 * time.Second)},
 		Contention: Contention{Mode: contention.ModeOff},
+		Memory:     Memory{HeldShare: 0.25, ConnectionShare: 0.25},
 	}
 }
 
@@ -141,6 +160,9 @@
 	return err
 }
 
+// maxMemoryMB is the largest accepted memory limit. A larger one is a mistake of the unit.
+const maxMemoryMB = 1 << 20
+
 // MinSecretLength is the smallest accepted length of a secret or token, in bytes.
 const MinSecretLength = 16
 
@@ -202,6 +224,18 @@
 	if !s.Contention.Mode.Valid() {
 		invalid("contention.mode", "is %q; write %q, %q or %q", s.Contention.Mode, contention.ModeOff, contention.ModeAuto, contention.ModeOn)
 	}
+	if !(s.Memory.LimitMB >= 0 && s.Memory.LimitMB <= maxMemoryMB) {
+		invalid("memory.limit_mb", "is %v; write 0, or the memory in MiB up to %d", s.Memory.LimitMB, maxMemoryMB)
+	}
+	shares := []struct {
+		field string
+		value float64
+	}{{"memory.held_share", s.Memory.HeldShare}, {"memory.connection_share", s.Memory.ConnectionShare}}
+	for _, share := range shares {
+		if !(share.value > 0 && share.value <= 1) {
+			invalid(share.field, "is %v; write a share above 0, at most 1", share.value)
+		}
+	}
 	return errors.Join(errs...)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -51,8 +51,27 @@
 		Entry("hold", `hold_max = "10ms"`, "hold_max: is 10ms"),
 		Entry("retries", "[retries]\nratio = -0.1", "retries: ratio"),
 		Entry("contention", "[contention]\nmode = \"maybe\"", `contention.mode: is "maybe"; write "off", "auto" or "on"`),
+		Entry("memory limit", "[memory]\nlimit_mb = -1", "memory.limit_mb: is -1; write 0, or the memory in MiB"),
+		Entry("memory limit in bytes", "[memory]\nlimit_mb = 193986560", "memory.limit_mb: is 1.9398656e+08"),
+		Entry("no share of the memory", "[memory]\nheld_share = 0", "memory.held_share: is 0; write a share above 0"),
+		Entry("percent", "[memory]\nconnection_share = 25", "memory.connection_share: is 25; write a share"),
+		Entry("not a number", "[memory]\nheld_share = nan", "memory.held_share: is NaN"),
 	)
 
+	// Guards against a template that gives a whole number where the settings need a float, and against
+	// a limit in another unit.
+	It("accept the memory of the deploy template", func() {
+		text, err := os.ReadFile("../deploy/settings.toml.tmpl")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring("[memory]\nlimit_mb = {{limits.memory-mb}}\n"))
+		path := filepath.Join(GinkgoT().TempDir(), "s.toml")
+		Expect(os.WriteFile(path, []byte("[memory]\nlimit_mb = 184\n"), 0o600)).To(Succeed())
+		s, err := settings.Load(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Memory.HeldBytes()).To(Equal(int64(46 << 20)))
+		Expect(s.Memory.ConnectionBytes()).To(Equal(int64(46 << 18)))
+	})
+
 	It("are rejected with all mistakes at once", func() {
 		err := load("name = \"\"\nmax_body = 0\nsecret = \"x\"\noperator_token = \"y\"\n")
 		for _, field := range []string{"name: ", "max_body: ", "secret: ", "operator_token: "} {
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
+	"lycheehall.example/lycheehall/transport/membudget"
 )
 
 const (
@@ -62,6 +62,7 @@
 	key      uint16
 	keyed    bool
 	body     []byte
+	memory   reservedMemory
 	// returning says that the request is a retry by a caller that was refused before;
 	// sinceFirstRequest is the time since that caller's first request.
 	returning         bool
@@ -93,6 +94,9 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(c.h.workCtx, cancel)()
+	if res, ok := c.reserveMemory(); !ok {
+		return res
+	}
 	if res, ok := c.readBody(); !ok {
 		return res
 	}
@@ -170,13 +174,10 @@
 	// connection does not support deadlines, as in tests, there is nothing to limit.
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.deadline)
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, c.h.config.MaxBody+1))
+	body, err := membudget.ReadBody(c.r.Body, c.r.ContentLength, c.h.config.MaxBody, c.bodyBuffered)
 	if err != nil {
 		// The deadline stays set: the server waits for the rest of the body before it responds.
-		return result{refusal: refusal{http.StatusBadRequest, "body-broken", 0}}, false
-	}
-	if int64(len(body)) > c.h.config.MaxBody {
-		return result{refusal: refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}}, false
+		return resultOfBodyError(err), false
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
@@ -199,6 +200,9 @@
 			return c.withUnknownOutcome(c.permitError(wait, err))
 		}
 		res, retry := c.makeAttempt(ctx, wait, p)
+		if retry {
+			res, retry = c.reserveForRetry(res)
+		}
 		if !retry {
 			return c.withUnknownOutcome(res)
 		}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -17,6 +17,7 @@
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/membudget"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
 
@@ -46,6 +47,11 @@
 	// TargetStatus holds what targets have reported about themselves. If it is nil, the handler
 	// uses a tracker of its own.
 	TargetStatus *targetstatus.Tracker
+	// Memory limits the memory held for callers and targets. If it is nil, there is no limit.
+	Memory *membudget.Budget
+	// StallTimeout is how long a caller may take nothing of a response before it is cut off; 0 means
+	// defaultStallTimeout. It is only used while Memory is on.
+	StallTimeout time.Duration
 }
 
 // Handler is the HTTP handler for callers.
@@ -131,8 +137,13 @@
 	if c.id == "" {
 		c.id = h.idPrefix + "-" + strconv.FormatUint(h.lastID.Add(1), 36)
 	}
+	defer c.releaseMemory()
 	res := c.serve()
 	c.logRequest(res)
+	if h.config.Memory.Enabled() {
+		c.writeInPieces(res)
+		return
+	}
 	if res.response != nil {
 		writeResponse(w, res.response)
 		return
@@ -161,18 +172,30 @@
 
 // write sends the refusal to the caller.
 func (r refusal) write(w http.ResponseWriter) {
+	r.writeHead(w)
+	// A write error means that the caller has gone.
+	_, _ = io.WriteString(w, r.body())
+}
+
+func (r refusal) body() string { return r.reason + "\n" }
+
+func (r refusal) writeHead(w http.ResponseWriter) {
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(r.status)
-	// A write error means that the caller has gone.
-	_, _ = io.WriteString(w, r.reason+"\n")
 }
 
 // writeResponse forwards a target's complete response to the caller.
 func writeResponse(w http.ResponseWriter, resp *upstream.Response) {
+	writeResponseHead(w, resp)
+	// A write error means that the caller has gone.
+	_, _ = w.Write(resp.Body)
+}
+
+func writeResponseHead(w http.ResponseWriter, resp *upstream.Response) {
 	header := w.Header()
 	wire.DropConnectionHeaders(resp.Header)
 	for name, values := range resp.Header {
@@ -184,6 +207,4 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	w.WriteHeader(resp.Status)
-	// A write error means that the caller has gone.
-	_, _ = w.Write(resp.Body)
 }
--- a/transport/membudget/write.go
+++ b/transport/membudget/write.go
@@ -14,7 +14,7 @@
 	// writeBufferBytes is the socket's send buffer for a caller. The kernel accepts further data
 	// only after a third of the buffer has been sent and acknowledged. A larger buffer hides how
 	// much a slow caller has taken, and is memory that the budget does not count.
-	writeBufferBytes = 64 << 10
+	writeBufferBytes = 32 << 10
 )
 
 // WriteInPieces writes the body of a response whose header has been written with its Content-Length,
