--- a/transport/membudget/budget.go
+++ b/transport/membudget/budget.go
@@ -137,7 +137,8 @@
 		if a.Returning {
 			b.promised.keep(size)
 		}
-	case d.RetryAfter < maxRetryAfter:
+	case d.RetryAfter < maxRetryAfter && promised+due < b.limits.Held:
+		// Callers that come back earlier than told would otherwise postpone all others without limit.
 		b.promised.add(d.RetryAfter, size)
 	}
 	return d
