--- a/cmd/lycheehall-soak/main.go
+++ b/cmd/lycheehall-soak/main.go
@@ -23,6 +23,7 @@
 	instances     int
 	targets       int
 	injectedFault string
+	memoryMB      int
 	quiet         bool
 }
 
@@ -38,6 +39,7 @@
 	flaggy.Int(&o.instances, "", "instances", "Number of instances.")
 	flaggy.Int(&o.targets, "", "targets", "Number of targets.")
 	flaggy.String(&o.injectedFault, "", "plant", "Injected fault of the targets, which the checks must find: twice, denied, foreign or fence.")
+	flaggy.Int(&o.memoryMB, "", "memory", "Memory of each instance in MiB, which turns its memory budget on; default: off.")
 	flaggy.Bool(&o.quiet, "q", "quiet", "Print only results, not progress.")
 	flaggy.Parse()
 	failed := 0
@@ -65,7 +67,7 @@
 		}
 	}
 	result, err := soak.Run(soak.Options{
-		Seed: seed, DeploymentOptions: soak.DeploymentOptions{Instances: o.instances, Targets: o.targets, InjectedFault: o.injectedFault},
+		Seed: seed, DeploymentOptions: soak.DeploymentOptions{Instances: o.instances, Targets: o.targets, InjectedFault: o.injectedFault, MemoryMB: o.memoryMB},
 		Length: o.length, ProgramDir: o.programDir, Dir: dir, Progress: progress,
 	})
 	if err != nil {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -47,8 +47,10 @@
 type Callers struct {
 	addresses []string
 	client    *http.Client
-	stop      chan struct{}
-	running   sync.WaitGroup
+	// slowClient is the client of the callers that read slowly.
+	slowClient *http.Client
+	stop       chan struct{}
+	running    sync.WaitGroup
 
 	mu      sync.Mutex
 	results map[string]CallResult
@@ -69,7 +71,7 @@
 func NewCallers(addresses []string) *Callers {
 	c := &Callers{
 		addresses: addresses, stop: make(chan struct{}), results: map[string]CallResult{},
-		client: &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}},
+		client: &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}, slowClient: newSlowClient(),
 	}
 	for n := range callerCount {
 		c.running.Go(func() { c.run(n) })
@@ -86,7 +88,11 @@
 		case <-time.After(callerPause):
 		}
 		id := fmt.Sprintf("c%d-%d", n, i)
-		result := c.Call(c.addresses[rand.IntN(len(c.addresses))], id, rand.IntN(keyCount), i%3 != 0)
+		client, body := c.client, id
+		if n%slowCallerEvery == 0 {
+			client, body = c.slowClient, slowBody(id)
+		}
+		result := send(client, c.addresses[rand.IntN(len(c.addresses))], id, body, rand.IntN(keyCount), i%3 != 0)
 		c.mu.Lock()
 		c.results[id] = result
 		c.mu.Unlock()
@@ -96,6 +102,11 @@
 // Call makes one request and returns its result. The request is a booking, or a look-up, which is
 // idempotent.
 func (c *Callers) Call(address, id string, key int, booking bool) CallResult {
+	return send(c.client, address, id, id, key, booking)
+}
+
+// send makes one request with the given body, which begins with the ID.
+func send(client *http.Client, address, id, body string, key int, booking bool) CallResult {
 	method, path := http.MethodGet, "plumbers"
 	if booking {
 		method, path = http.MethodPost, "bookings"
@@ -109,10 +120,10 @@
 	req.Header.Set(headers.Timeout, fmt.Sprint(callerTimeout.Milliseconds()))
 	// The HTTP client retries idempotent requests by itself when an idle connection breaks, unless the
 	// body cannot be sent again. The result of one attempt would then be taken for that of another.
-	req.Body = io.NopCloser(strings.NewReader(id))
-	req.ContentLength = int64(len(id))
+	req.Body = io.NopCloser(strings.NewReader(body))
+	req.ContentLength = int64(len(body))
 	req.GetBody = nil
-	result := sendAndClassify(c.client, req, id, !booking)
+	result := sendAndClassify(client, req, id, !booking)
 	result.Instance = address
 	return result
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -140,6 +140,9 @@
 	// InjectedFault, if not empty, is the injected fault of the targets, to test whether the checks
 	// find it.
 	InjectedFault string
+	// MemoryMB is the memory of each instance by its settings, which turns its memory budget on. 0
+	// leaves it off.
+	MemoryMB int
 }
 
 // Ports are chosen below the range from which the system assigns ports to outgoing connections. It
@@ -183,7 +186,7 @@
 		}
 	}
 	for i := range size.Instances {
-		if err := d.startInstance(programs, i); err != nil {
+		if err := d.startInstance(programs, i, size.MemoryMB); err != nil {
 			return d, err
 		}
 	}
@@ -245,7 +248,7 @@
 }
 
 // startInstance starts an instance that reaches the store through a proxy.
-func (d *Deployment) startInstance(programs string, i int) error {
+func (d *Deployment) startInstance(programs string, i, memoryMB int) error {
 	var addresses [4]string
 	for n := range addresses {
 		address, err := freeAddress()
@@ -261,8 +264,8 @@
 	proxy.SetTarget(d.storeAddress)
 	name := fmt.Sprintf("instance%d", i+1)
 	settings := filepath.Join(d.dir, name+".toml")
-	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n",
-		name, dataCentreName(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address())
+	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n[memory]\nlimit_mb = %d\n",
+		name, dataCentreName(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address(), memoryMB)
 	if err := os.WriteFile(settings, []byte(text), 0o644); err != nil {
 		return fmt.Errorf("soak: write the settings: %w", err)
 	}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,8 @@
 // A seed determines the plan of faults: processes are killed, paused and resumed, terminated and
 // restarted. Connections to the store and to targets go through loopback proxies, which delay,
 // reset or stall them or block one direction. Faults overlap. Callers keep their connections until
-// the process at the other end has exited. In parallel, one target at a time reports in its responses,
+// the process at the other end has exited; a quarter of them sends long requests and reads the
+// responses slowly. In parallel, one target at a time reports in its responses,
 // and nowhere else, that it is leaving; one target at a time reports a limit for all instances
 // together; one data centre at a time is evacuated; and the store is repeatedly restored from a backup.
 //
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +65,22 @@
 		Expect(result.Counts[Answered]).To(BeNumerically(">", 200))
 	})
 
+	// Guards against requests that were refused for want of memory and ran, and against instances that
+	// do not release the memory of requests that end in a fault.
+	It("finds no violation with little memory for callers that read slowly", func() {
+		dir := GinkgoT().TempDir()
+		result, err := Run(Options{
+			Seed: 8, DeploymentOptions: DeploymentOptions{Instances: 3, Targets: 3, MemoryMB: 2}, Length: 6 * time.Second,
+			ProgramDir: buildPrograms(), Dir: dir, Progress: func(string, ...any) {},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Violations).To(BeEmpty())
+		Expect(result.Counts[Answered]).To(BeNumerically(">", 200))
+		log, err := os.ReadFile(filepath.Join(dir, "instance1.log"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(log)).To(ContainSubstring(`"outcome":"memory"`))
+	})
+
 	// Guards against a port that the system assigns to an outgoing connection before the process listens
 	// on it. The process then does not serve, with "address in use" in its log.
 	It("chooses ports that are not assigned to outgoing connections", func() {
