--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -170,4 +170,21 @@
 		resp.Body.Close()
 		Expect(resp.StatusCode).To(Equal(200))
 	})
+
+	It("applies a memory limit that a reload turns on", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "s.toml")
+		Expect(os.WriteFile(file, nil, 0o600)).To(Succeed())
+		d := startLocal(GinkgoTB(), file)
+		post := func() int {
+			resp, err := http.Post("http://"+d.callers+"/bookings/h-1", "text/plain", strings.NewReader(strings.Repeat("x", 64<<10)))
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+		Eventually(post, "5s", "50ms").Should(Equal(200))
+		// 0.1 MiB leave 25.6 KiB for bodies.
+		Expect(os.WriteFile(file, []byte("[memory]\nlimit_mb = 0.1\n"), 0o600)).To(Succeed())
+		d.instance.ReloadSettings()
+		Eventually(post, "5s", "50ms").Should(Equal(413))
+	})
 })
--- a/transport/front/doc.go
+++ b/transport/front/doc.go
@@ -23,6 +23,9 @@
 // reported that it is leaving, once its drain time is over, or during a pause that a target has
 // reported; see targetstatus.go.
 //
+// Where the memory budget is on, a request reserves its body and the expected size of its response
+// before it asks for a permit, and again before a retry; see memory.go.
+//
 // Once an attempt of a request has an unknown outcome, the request is never reported as not
 // executed.
 //
