--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -18,9 +18,8 @@
 	requestOverheadBytes = 16 << 10
 	// unknownResponseBytes is reserved for the response while no response of the rule is known.
 	unknownResponseBytes = 16 << 10
-	// defaultStallTimeout is how long a caller may take nothing of a response. The sheets of the
-	// deployments allow callers to read slowly, but a caller that has gone without closing its
-	// connection would hold memory for minutes.
+	// defaultStallTimeout is how long a caller may take nothing of a response. Callers may read
+	// slowly, but one that is gone without having closed its connection would hold memory for minutes.
 	defaultStallTimeout = 10 * time.Second
 	// memoryReason is the reason of a refusal because of the memory budget.
 	memoryReason = "memory"
@@ -28,10 +27,10 @@
 
 var callersCutOff = metrics.GetOrCreateCounter("lycheehall_front_callers_cut_off_total")
 
-// errNoMemory is the error of reading a request body for which there is no memory.
-type errNoMemory struct{ decision membudget.Decision }
+// noMemoryError is the error of reading a request body for which there is no memory.
+type noMemoryError struct{ decision membudget.Decision }
 
-func (errNoMemory) Error() string { return "front: no memory for the request body" }
+func (noMemoryError) Error() string { return "front: no memory for the request body" }
 
 // reservedMemory is the memory reserved for a call.
 type reservedMemory struct {
@@ -74,7 +73,8 @@
 	return membudget.Ask{Known: body, Expected: requestOverheadBytes + c.memory.response, Returning: c.returning}
 }
 
-// resultWithoutMemory is the result for a request that was not admitted. No attempt has been made.
+// resultWithoutMemory is the result for a request that was not admitted. After an attempt that may
+// have been executed, withUnknownOutcome changes it.
 func resultWithoutMemory(d membudget.Decision) result {
 	if d.TooLarge {
 		return result{refusal: refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}}
@@ -89,14 +89,14 @@
 		return nil
 	}
 	if d := c.memory.reservation.Grow(c.memoryAsk(size)); !d.Admitted {
-		return errNoMemory{d}
+		return noMemoryError{d}
 	}
 	return nil
 }
 
 // resultOfBodyError returns the result for a request whose body could not be read.
 func resultOfBodyError(err error) result {
-	var noMemory errNoMemory
+	var noMemory noMemoryError
 	switch {
 	case errors.As(err, &noMemory):
 		return resultWithoutMemory(noMemory.decision)
