Order and admit requests by urgency in contended pools

Where kinds of requests compete, a less urgent kind with a long aim maintained a queue within its own aim, and more urgent requests waited in it: requests were ordered by arrival, shifted by one request's work per step of priority.

A pool that gets asks with Contended set now serves requests that can still be in time first, among these the more urgent kind, and within a kind by the caller's first arrival. A waiting kind that recently had less than an eighth of the grants (at most half of its share of the arrivals) goes first. A request is queued if it should get a slot within its aim behind the preceding ones and the arrivals expected from more urgent kinds; otherwise it is refused with the time at which there is capacity, which is reserved for a short time.

--- a/coordination/permit/capacity.go
+++ b/coordination/permit/capacity.go
@@ -58,7 +58,7 @@
 func (p *pool) estimateWait(w *waiter, now clock.Instant) time.Duration {
 	ahead := time.Duration(0)
 	for _, other := range p.waiting {
-		if !w.precedes(other, now) {
+		if !p.precedes(w, other, now) {
 			ahead += other.expected
 		}
 	}
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -63,6 +63,8 @@
 	granted map[string]grantedPermit
 	// meanDurations are the mean durations of each rule's requests at an average target.
 	meanDurations map[string]time.Duration
+	// contention is nil unless kinds of requests compete in the pool.
+	contention *contention
 }
 
 func newPool() *pool {
@@ -183,12 +185,25 @@
 		return Permit{}, false, &RefusedError{Reason: ReasonNoTarget, RetryAfter: time.Second}
 	}
 	w.expectedNow = time.Duration(float64(w.expected) * p.meanSlowness(now))
+	p.updateContention(w.ask, now)
 	if p.isRunning(w.ask.Suspect) {
 		return Permit{}, false, &RefusedError{Reason: ReasonSuspect, RetryAfter: max(minRetryAfter, w.expectedNow)}
 	}
 	if t := p.pickTarget(w, now); t != nil && !p.outranked(w, now) {
+		if p.contention != nil {
+			p.contention.recordArrival(w.ask, now)
+			p.contention.takeReservation(w, now)
+		}
 		return p.grant(w, t, now), false, nil
 	}
+	if p.contention != nil && !w.ask.NoQueue {
+		p.contention.recordArrival(w.ask, now)
+		if err := p.admitContended(w, now); err != nil {
+			return Permit{}, false, err
+		}
+		p.waiting = append(p.waiting, w)
+		return Permit{}, true, nil
+	}
 	wait := p.estimateWait(w, now)
 	if w.ask.NoQueue {
 		return Permit{}, false, &RefusedError{Reason: ReasonBusy, RetryAfter: max(wait, time.Millisecond)}
@@ -226,7 +241,7 @@
 
 // outranked reports whether another request in the queue precedes this one and could be sent now.
 func (p *pool) outranked(w *waiter, now clock.Instant) bool {
-	return slices.ContainsFunc(p.waiting, func(other *waiter) bool { return other.precedes(w, now) && p.pickTarget(other, now) != nil })
+	return slices.ContainsFunc(p.waiting, func(other *waiter) bool { return p.precedes(other, w, now) && p.pickTarget(other, now) != nil })
 }
 
 // grant gives the request a slot of the target.
@@ -234,6 +249,9 @@
 	t.inUse++
 	t.usedAt = now
 	t.recordSend(now)
+	if p.contention != nil {
+		p.contention.recordGrant(w.ask.Rule, now)
+	}
 	p.granted[w.ask.ID] = grantedPermit{
 		target: t.ID, rule: w.ask.Rule, grantedAt: now, deadline: w.deadline,
 		expected: w.expected, slowness: t.currentSlowness(now), suspect: w.ask.Suspect,
@@ -245,6 +263,10 @@
 // served in time because more urgent ones have arrived since they were queued. If these waited
 // until their deadline, their callers would have no time left to retry.
 func (p *pool) serveQueue(now clock.Instant) {
+	if p.contention != nil {
+		p.serveContendedQueue(now)
+		return
+	}
 	slowness := p.meanSlowness(now)
 	for _, w := range p.waiting {
 		w.expectedNow = time.Duration(float64(w.expected) * slowness)
--- a/coordination/permit/simulation_test.go
+++ b/coordination/permit/simulation_test.go
@@ -21,6 +21,13 @@
 	targets   []Target
 	// reportsSlowness is set if the targets report their slowness.
 	reportsSlowness bool
+	// contended is set if the asks have Contended set; ownBuild is the share of them that has, the
+	// others come from instances of an older build.
+	contended bool
+	ownBuild  float64
+	// thirds is set if callers wait for a Retry-After up to a third of the time that they have left,
+	// instead of retrying only if it is within that time.
+	thirds bool
 }
 
 // traffic describes the requests of a rule.
@@ -31,6 +38,9 @@
 	work, aim time.Duration
 	// timeout is how long the callers wait in total, with their retries.
 	timeout time.Duration
+	// worth and worthLate are the values of a response in time and late; see contendedSimulation.
+	worth, worthLate float64
+	burst            burst
 }
 
 const (
@@ -59,29 +69,42 @@
 // run runs the simulation and returns the fraction of each rule's requests that was answered within
 // its aim.
 func (p simulation) run(seed uint64) map[string]float64 {
+	shares := map[string]float64{}
+	for rule, o := range p.outcomes(seed) {
+		shares[rule] = float64(o.inTime) / float64(o.sent)
+	}
+	return shares
+}
+
+// outcomes runs the simulation and returns what became of each rule's requests.
+func (p simulation) outcomes(seed uint64) map[string]*outcome {
 	r := &simulationRun{
 		simulation: p, fixture: newFixture(p.targets...), random: rand.New(rand.NewPCG(seed, seed)),
-		slowness: map[string]float64{}, sent: map[string]int{}, inTime: map[string]int{},
+		slowness: map[string]float64{}, counts: map[string]*outcome{},
+	}
+	peak := 1.0
+	for _, t := range p.traffic {
+		r.counts[t.rule] = &outcome{}
+		peak = max(peak, t.burst.factor)
 	}
 	next := start
 	for r.now = start; r.now < start.Add(time.Duration(p.seconds)*time.Second); r.now = r.now.Add(simulationStep) {
 		if r.now.Sub(start)%disturbedEvery == 0 {
 			r.disturb()
 		}
+		running := len(r.running)
 		r.running = due(r.running, r.now, r.finish)
-		r.serveQueue(r.now)
-		r.collect()
+		if !r.thirds || len(r.running) < running || r.now.Sub(start)%serveInterval == 0 {
+			r.serveQueue(r.now)
+			r.collect()
+		}
 		r.backingOff = due(r.backingOff, r.now, r.send)
 		for next <= r.now {
-			r.arrive()
-			next = next.Add(time.Duration(r.random.ExpFloat64() / p.perSecond * float64(time.Second)))
+			r.arrive(peak)
+			next = next.Add(time.Duration(r.random.ExpFloat64() / p.perSecond / peak * float64(time.Second)))
 		}
 	}
-	shares := map[string]float64{}
-	for rule, n := range r.sent {
-		shares[rule] = float64(r.inTime[rule]) / float64(n)
-	}
-	return shares
+	return r.counts
 }
 
 // simulationRun is a simulation in progress.
@@ -94,7 +117,7 @@
 	// waiting requests are queued, running ones are at a target, and backingOff ones were refused
 	// and will retry.
 	waiting, running, backingOff []*request
-	sent, inTime                 map[string]int
+	counts                       map[string]*outcome
 }
 
 // disturb chooses anew which targets are disturbed.
@@ -107,10 +130,14 @@
 	}
 }
 
-// arrive creates a new request.
-func (r *simulationRun) arrive() {
+// arrive creates a new request. It is called at the peak rate, and keeps the share of the calls that
+// corresponds to the current rate of the kind.
+func (r *simulationRun) arrive(peak float64) {
 	t := r.pickTraffic(r.random)
-	r.sent[t.rule]++
+	if peak > 1 && r.random.Float64()*peak > t.burst.at(r.now.Sub(start)) {
+		return
+	}
+	r.counts[t.rule].sent++
 	scale := math.Exp(r.random.NormFloat64()*workSpread - workSpread*workSpread/2)
 	r.send(&request{traffic: t, first: r.now, work: time.Duration(float64(t.work) * scale)})
 }
@@ -121,6 +148,9 @@
 		a.Rule, a.Priority, a.DataCentre = q.traffic.rule, q.traffic.priority, "dc1"
 		a.AimLeft, a.Left = q.first.Add(q.traffic.aim).Sub(r.now), q.first.Add(q.traffic.timeout).Sub(r.now)
 		a.Returning = q.retries > 0
+		if r.contended && (r.ownBuild == 0 || r.random.Float64() < r.ownBuild) {
+			a.Contended, a.Aim = true, q.traffic.aim
+		}
 	})
 	q.waiter = w
 	switch {
@@ -143,11 +173,20 @@
 // refused schedules the retry of a refused request, if its caller has enough time left.
 func (r *simulationRun) refused(q *request, err error) {
 	var full *RefusedError
-	if !errors.As(err, &full) || q.retries >= maxRetries || r.now.Add(full.RetryAfter) > q.first.Add(q.traffic.timeout) {
+	o := r.counts[q.traffic.rule]
+	if q.retries > 0 {
+		o.refusedAgain++
+	}
+	if !errors.As(err, &full) || q.retries >= maxRetries || r.now.Add(full.RetryAfter) > q.first.Add(q.traffic.timeout) && !r.thirds {
+		o.refused++
 		return
 	}
 	q.retries++
-	q.at = r.now.Add(full.RetryAfter)
+	wait := full.RetryAfter
+	if left := q.first.Add(q.traffic.timeout).Sub(r.now); r.thirds {
+		wait = min(wait, left/3)
+	}
+	q.at = r.now.Add(wait)
 	r.backingOff = append(r.backingOff, q)
 }
 
@@ -158,8 +197,11 @@
 		report.Slowness = r.slowness[q.permit.Target]
 	}
 	r.report(report, r.now)
-	if r.now.Sub(q.first) <= q.traffic.aim {
-		r.inTime[q.traffic.rule]++
+	switch took := r.now.Sub(q.first); {
+	case took <= q.traffic.aim:
+		r.counts[q.traffic.rule].inTime++
+	case took <= q.traffic.timeout:
+		r.counts[q.traffic.rule].late++
 	}
 }
 
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -32,6 +32,11 @@
 	AimLeft time.Duration
 	// Left is the remaining time until the request is given up.
 	Left time.Duration
+	// Contended is set if kinds of requests compete for the targets of the service. The pool then
+	// decides by urgency, see contention.
+	Contended bool
+	// Aim is the rule's whole aim, of which AimLeft is the rest; 0 if Contended is not set.
+	Aim time.Duration
 	// Returning is set if the caller was refused before and has retried after the RetryAfter of the
 	// refusal. The ask may then be queued until its deadline instead of its aim.
 	Returning bool
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -163,7 +163,7 @@
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
 	i.handler = front.NewHandler(
-		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus},
+		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus, Contended: i.contention.Service},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -277,6 +277,9 @@
 		Returning: c.returning, DataCentre: c.h.config.DataCentre,
 		Abroad: permit.CrossDataCentreCost(c.h.collector.MeanResponseSize(c.decision.Rule.Name)),
 	}
+	if contended := c.h.config.Contended; contended != nil && contended(c.snapshot.Rules, c.service.Name) {
+		ask.Contended, ask.Aim = true, time.Duration(c.then.Aim)
+	}
 	if target == "" {
 		ask.Exclude = c.targetsToAvoid()
 	}
--- /dev/null
+++ b/transport/front/contended_test.go
@@ -0,0 +1,24 @@
+package front
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/protocol/rules"
+)
+
+var _ = Describe("asks for permits", func() {
+	// Guards against a change for services in which kinds of requests do not compete.
+	It("have Contended and the whole aim set only for contended services", func() {
+		f := newFixture()
+		f.h.config.Contended = func(_ *rules.Set, service string) bool { return service == "keyed" }
+		f.do("GET", "/k/1")
+		f.do("GET", "/p")
+		Expect(f.permits.asks[0].Contended).To(BeTrue())
+		Expect(f.permits.asks[0].Aim).To(Equal(500 * time.Millisecond))
+		Expect(f.permits.asks[1].Contended).To(BeFalse())
+		Expect(f.permits.asks[1].Aim).To(BeZero())
+	})
+})
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -16,6 +16,7 @@
 	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
@@ -46,6 +47,9 @@
 	// TargetStatus holds what targets have reported about themselves. If it is nil, the handler
 	// uses a tracker of its own.
 	TargetStatus *targetstatus.Tracker
+	// Contended reports whether kinds of requests compete for the targets of a service, under the
+	// rules in force. If it is nil, they compete nowhere.
+	Contended func(set *rules.Set, service string) bool
 }
 
 // Handler is the HTTP handler for callers.
