Serve the newest requests first in a standing queue of a contended pool

When the queue of a priority has held requests older than a quarter of their aim for a whole aim, its newest requests are served first, and the oldest are refused as soon as the queue is longer than the aim. Expected arrivals are the rate of two seconds less its standard deviation, since chance differences of the rate at a target with few requests a second caused refusals. The starvation bound holds for requests that can still be in time.

--- a/coordination/permit/arrivals.go
+++ b/coordination/permit/arrivals.go
@@ -7,10 +7,9 @@
 	"lycheehall.example/lycheehall/clock"
 )
 
-// rateWindow is the time constant of the rates in a contended pool. It is shorter than the bursts
-// that admission has to follow, which last a few seconds, and long enough for a pool of one target
-// to see some ten requests in it.
-const rateWindow = time.Second
+// rateWindow is the time constant of the rates in a contended pool. Bursts last a few seconds, and a
+// pool of one target gets a few requests a second of each kind.
+const rateWindow = 2 * time.Second
 
 // decayingSum is a sum whose terms lose weight exponentially with their age.
 type decayingSum struct {
@@ -29,11 +28,6 @@
 	return s.sum * math.Exp(-float64(now.Sub(s.at))/float64(rateWindow))
 }
 
-// perSecond returns the mean rate of the terms over the window.
-func (s *decayingSum) perSecond(now clock.Instant) float64 {
-	return s.value(now) / rateWindow.Seconds()
-}
-
 // kind is what a contended pool knows about the requests of one rule.
 type kind struct {
 	priority int
@@ -62,13 +56,25 @@
 	}
 }
 
+// arrivalRate returns how many requests a second of the kind are expected at least: the rate over the
+// window, or since the pool became contended if that is shorter, less its standard deviation. In a
+// pool that gets few requests, chance differences of the rate would otherwise cause refusals.
+func (c *contention) arrivalRate(k *kind, now clock.Instant) float64 {
+	count := k.arrivals.value(now)
+	window := rateWindow.Seconds() * (1 - math.Exp(-float64(now.Sub(c.since))/float64(rateWindow)))
+	if window <= 0 {
+		return 0
+	}
+	return max(0, count-math.Sqrt(count)) / window
+}
+
 // expectedLoad returns the number of slots of an average target that the requests expected to arrive
 // ahead of the given rank will occupy.
 func (p *pool) expectedLoad(r rank, now clock.Instant) float64 {
 	slots := 0.0
 	for rule, k := range p.contention.kinds {
 		if r.late || k.priority < r.priority {
-			slots += k.arrivals.perSecond(now) * p.expectedDuration(Ask{Rule: rule}).Seconds()
+			slots += p.contention.arrivalRate(k, now) * p.expectedDuration(Ask{Rule: rule}).Seconds()
 		}
 	}
 	return slots
--- a/coordination/permit/contended.go
+++ b/coordination/permit/contended.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"lycheehall.example/lycheehall/clock"
 )
 
@@ -15,15 +18,26 @@
 	// contendedFor is how long a pool stays contended after the last ask with Contended set. Asks
 	// of instances of an older build in that time are decided in the same way.
 	contendedFor = 5 * time.Second
+	// standingShare is the share of its aim that a request waits in a standing queue; see
+	// contention.standingSince.
+	standingShare = 1.0 / 4
 )
 
 // contention is the state of a contended pool, in which kinds of requests compete for slots.
 type contention struct {
-	// until is when the pool stops being contended.
-	until clock.Instant
+	// since and until are when the pool became contended and when it stops being so.
+	since, until clock.Instant
 	// kinds holds the rates of each rule's requests.
 	kinds        map[string]*kind
 	reservations []reservation
+	// standingSince holds, for each priority, since when a request that has waited for more than
+	// standingShare of its aim has always been in the queue.
+	standingSince map[int]clock.Instant
+}
+
+// countContended counts what became of an ask for a permit in a contended pool.
+func countContended(rule, result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lycheehall_permit_contended_total{rule=%q,result=%q}`, rule, result)).Inc()
 }
 
 // updateContention makes the pool contended if the ask is, and ends it some time after the last such
@@ -32,7 +46,7 @@
 	switch {
 	case a.Contended:
 		if p.contention == nil {
-			p.contention = &contention{kinds: map[string]*kind{}}
+			p.contention = &contention{since: now, kinds: map[string]*kind{}, standingSince: map[int]clock.Instant{}}
 		}
 		p.contention.until = now.Add(contendedFor)
 	case p.contention != nil && now >= p.contention.until:
@@ -47,10 +61,15 @@
 	priority int
 	// first is when the caller first sent the request.
 	first clock.Instant
+	// newestFirst is set while the queue of the priority is a standing one.
+	newestFirst bool
 }
 
 // before reports whether requests of this rank are served first. Requests that can be in time come
 // first, then the more urgent, then those whose callers have waited longer.
+//
+// While more requests arrive than can be served, the oldest ones have just too little time left to be
+// in time, and the order by arrival would make all of them late. The newest ones come first then.
 func (r rank) before(other rank) bool {
 	if r.late != other.late {
 		return other.late
@@ -58,9 +77,20 @@
 	if r.priority != other.priority {
 		return r.priority < other.priority
 	}
+	if r.newestFirst && other.newestFirst && !r.late {
+		return r.first > other.first
+	}
 	return r.first < other.first
 }
 
+// wholeAim returns the aim of the request's rule. An ask of an older build gives only the rest of it.
+func (w *waiter) wholeAim() time.Duration {
+	if w.ask.Aim == 0 {
+		return w.ask.AimLeft
+	}
+	return w.ask.Aim
+}
+
 // firstArrival returns when the caller first sent the request. It is known from the aim, of which
 // AimLeft is the rest; an ask of an older build has no Aim and counts as new.
 func (w *waiter) firstArrival() clock.Instant {
@@ -72,7 +102,47 @@
 
 // rank returns the place of the request now.
 func (w *waiter) rank(now clock.Instant) rank {
-	return rank{late: !w.inTime(now), priority: w.ask.Priority, first: w.firstArrival()}
+	return rank{late: !w.inTime(now), priority: w.ask.Priority, first: w.firstArrival(), newestFirst: w.newestFirst}
+}
+
+// updateStanding updates which queues are standing ones, and sets newestFirst of the requests in them.
+// A queue counts as standing when it has existed for the aim of its requests: shorter ones are
+// fluctuations, in which the order by arrival has more requests in time.
+func (p *pool) updateStanding(now clock.Instant) {
+	standing := map[int]bool{}
+	since := p.contention.standingSince
+	for _, w := range p.waiting {
+		if aim := w.wholeAim(); w.inTime(now) && float64(now.Sub(w.firstArrival())) >= standingShare*float64(aim) {
+			standing[w.ask.Priority] = true
+			if _, known := since[w.ask.Priority]; !known {
+				since[w.ask.Priority] = now
+			}
+		}
+	}
+	for priority := range since {
+		if !standing[priority] {
+			delete(since, priority)
+		}
+	}
+	for _, w := range p.waiting {
+		w.newestFirst = p.contention.newestFirst(w, now)
+	}
+}
+
+// newestFirst reports whether the queue that the request belongs to is a standing one.
+func (c *contention) newestFirst(w *waiter, now clock.Instant) bool {
+	since, known := c.standingSince[w.ask.Priority]
+	return known && now.Sub(since) > w.wholeAim()
+}
+
+// recordAsk updates the statistics of a contended pool with an ask that was granted at once or is not
+// granted yet. An ask with NoQueue that gets no slot is not recorded: it is sent to another pool next.
+func (p *pool) recordAsk(w *waiter, granted bool, now clock.Instant) {
+	p.contention.recordArrival(w.ask, now)
+	if granted {
+		p.contention.takeReservation(w, now)
+		countContended(w.ask.Rule, "granted")
+	}
 }
 
 // precedes reports whether a comes before b in the queue.
@@ -92,24 +162,78 @@
 // after its aim, and durations vary so much that many of these requests are in time.
 func (p *pool) admitContended(w *waiter, now clock.Instant) error {
 	c := p.contention
-	current := w.rank(now)
+	p.updateStanding(now)
+	w.newestFirst = c.newestFirst(w, now)
+	r := w.rank(now)
 	reserved := c.takeReservation(w, now)
-	wait := p.contendedWait(w, current, now)
-	if !current.late {
-		if now.Add(wait) <= w.aim {
+	wait := p.contendedWait(w, r, now)
+	if !r.late {
+		if now.Add(wait) <= p.latestContendedGrant(w) {
+			if w.newestFirst {
+				p.refuseOldest(w, now)
+			}
 			return nil
 		}
-		current.late = true
-		wait = p.contendedWait(w, current, now)
+		r.late = true
+		wait = p.contendedWait(w, r, now)
 	}
-	if (reserved || w.rank(now).late) && now.Add(wait+w.expectedNow) <= w.deadline {
+	if (reserved || !w.inTime(now)) && now.Add(wait+w.expectedNow) <= w.deadline {
 		return nil
 	}
-	retryAfter := min(max(minRetryAfter, wait), max(minRetryAfter, w.ask.Left))
-	c.reserve(w, current, retryAfter, now)
+	return p.refuseFull(w, wait, now)
+}
+
+// latestContendedGrant returns the latest time at which a request that is in time must get a slot to
+// be queued now. If all targets report limits, the wait is known in advance, and the slot is left to a
+// request that can be in time.
+func (p *pool) latestContendedGrant(w *waiter) clock.Instant {
+	if p.allLimited() {
+		return w.aim.Add(-w.expectedNow)
+	}
+	return w.aim
+}
+
+// refuseFull returns the refusal of a request that would get its slot after the given wait, and
+// reserves capacity for its return.
+func (p *pool) refuseFull(w *waiter, wait time.Duration, now clock.Instant) *RefusedError {
+	retryAfter := max(minRetryAfter, min(wait, w.ask.Left))
+	r := w.rank(now)
+	r.late = true
+	if p.contention.reserve(w, r, retryAfter, now) {
+		countContended(w.ask.Rule, "reserved")
+	}
+	countContended(w.ask.Rule, "refused-full")
 	return &RefusedError{Reason: ReasonFull, RetryAfter: retryAfter}
 }
 
+// refuseOldest refuses the oldest queued request of the new one's priority if the queue is longer
+// than its aim. The oldest ones of a standing queue are served last, and would be late.
+func (p *pool) refuseOldest(w *waiter, now clock.Instant) {
+	oldest := -1
+	ahead, sameKind := time.Duration(0), time.Duration(0)
+	for i, other := range p.waiting {
+		if !other.inTime(now) || other.ask.Priority > w.ask.Priority {
+			continue
+		}
+		ahead += other.expected
+		if other.ask.Priority < w.ask.Priority {
+			continue
+		}
+		sameKind += other.expected
+		if oldest < 0 || other.firstArrival() < p.waiting[oldest].firstArrival() {
+			oldest = i
+		}
+	}
+	if oldest < 0 || now.Add(p.contendedWaitBehind(w, w.rank(now), ahead, sameKind, now)) <= w.aim {
+		return
+	}
+	refused := p.waiting[oldest]
+	p.waiting = slices.Delete(p.waiting, oldest, oldest+1)
+	late := refused.rank(now)
+	late.late = true
+	refused.done <- decision{err: p.refuseFull(refused, p.contendedWait(refused, late, now), now)}
+}
+
 // contendedWait estimates the time until a request of the given rank would get a slot.
 func (p *pool) contendedWait(w *waiter, r rank, now clock.Instant) time.Duration {
 	ahead, sameKind := time.Duration(0), time.Duration(0)
@@ -128,6 +252,9 @@
 // the given waiting work of all kinds and of its own.
 func (p *pool) contendedWaitBehind(w *waiter, r rank, ahead, sameKind time.Duration, now clock.Instant) time.Duration {
 	c := p.capacity(w.expected, now)
+	if c.rateLimitedSlots <= 0 {
+		return ejectionTime
+	}
 	running := p.untilFirstFree(now)
 	guaranteed := p.guaranteedShare(w.ask.Rule, now) * c.rateLimitedSlots
 	wait := w.ask.Left
@@ -136,7 +263,7 @@
 		wait = free.estimateWait(running, ahead)
 		wait = p.contention.waitBehindReservations(r, wait, free.rateLimitedSlots, now)
 	}
-	if guaranteed > 0 {
+	if guaranteed > 0 && !r.late {
 		starved := c.estimateWait(running, 0) + workDuration(sameKind+w.expected, guaranteed)
 		wait = min(wait, starved)
 	}
@@ -154,6 +281,7 @@
 // refuses requests that cannot be served before their deadline any more.
 func (p *pool) serveContendedQueue(now clock.Instant) {
 	p.contention.expireReservations(now)
+	p.updateStanding(now)
 	slowness := p.meanSlowness(now)
 	for _, w := range p.waiting {
 		w.expectedNow = time.Duration(float64(w.expected) * slowness)
@@ -173,7 +301,7 @@
 	ahead, aheadByRule := time.Duration(0), map[string]time.Duration{}
 	for _, w := range p.waiting {
 		if now.Add(w.expectedNow/2) > w.deadline {
-			w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: minRetryAfter}}
+			p.refuseLate(w, minRetryAfter)
 			continue
 		}
 		if t := p.pickTarget(w, now); t != nil {
@@ -182,7 +310,7 @@
 		}
 		if r := w.rank(now); r.late {
 			if wait := p.contendedWaitBehind(w, r, ahead, aheadByRule[w.ask.Rule], now); now.Add(wait+w.expectedNow/2) > w.deadline {
-				w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(minRetryAfter, wait)}}
+				p.refuseLate(w, wait)
 				continue
 			}
 		}
@@ -194,13 +322,20 @@
 	p.waiting = remaining
 }
 
+// refuseLate refuses a queued request that cannot be served before its deadline any more.
+func (p *pool) refuseLate(w *waiter, wait time.Duration) {
+	countContended(w.ask.Rule, "refused-late")
+	w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(minRetryAfter, min(wait, w.ask.Left))}}
+}
+
 // promoteStarved moves the first request of each starved kind to the front of the sorted queue, the
-// more urgent kinds first.
+// more urgent kinds first. Requests that are late already are not moved: newer ones of the same kind
+// can still be in time.
 func (p *pool) promoteStarved(now clock.Instant) {
 	var promoted []*waiter
 	seen := map[string]bool{}
 	for _, w := range p.waiting {
-		if seen[w.ask.Rule] {
+		if seen[w.ask.Rule] || !w.inTime(now) {
 			continue
 		}
 		seen[w.ask.Rule] = true
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -191,16 +191,16 @@
 	}
 	if t := p.pickTarget(w, now); t != nil && !p.outranked(w, now) {
 		if p.contention != nil {
-			p.contention.recordArrival(w.ask, now)
-			p.contention.takeReservation(w, now)
+			p.recordAsk(w, true, now)
 		}
 		return p.grant(w, t, now), false, nil
 	}
 	if p.contention != nil && !w.ask.NoQueue {
-		p.contention.recordArrival(w.ask, now)
+		p.recordAsk(w, false, now)
 		if err := p.admitContended(w, now); err != nil {
 			return Permit{}, false, err
 		}
+		countContended(w.ask.Rule, "queued")
 		p.waiting = append(p.waiting, w)
 		return Permit{}, true, nil
 	}
--- a/coordination/permit/reservations.go
+++ b/coordination/permit/reservations.go
@@ -67,6 +67,7 @@
 		return false
 	}
 	c.reservations = slices.Delete(c.reservations, best, best+1)
+	countContended(w.ask.Rule, "reservation-used")
 	return true
 }
 
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -153,7 +153,9 @@
 	// expected is the time that the request should take at an average target; expectedNow is that
 	// time multiplied by the current mean slowness of the pool.
 	expected, expectedNow time.Duration
-	done                  chan decision
+	// newestFirst is set in a contended pool while newer requests of the same priority come first.
+	newestFirst bool
+	done        chan decision
 }
 
 // decision is the final result of an ask.
