Refuse contended asks at the instance while their pool is known to be full

Each request that the keeper can only refuse cost a message to it. An instance now remembers for at most 150 ms that a keeper has refused a contended ask with ReasonFull, and refuses contended asks of the same or lower urgency and no longer aim at once. Callers that return are asked for, since capacity may be reserved for them; refusals of late callers and of second attempts are not remembered. Asks that are not contended behave as before. The waits of a service's groups, which were one value for all kinds, are kept by priority for contended services.

--- a/instance/broker.go
+++ b/instance/broker.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 
 	// chooser decides which group of a service's targets to ask.
 	chooser *permit.Chooser
+	// fullPools are the contended pools that have no capacity at the moment.
+	fullPools *permit.FullPools
 
 	// The keepers acquire mu while they hold their own locks, so no keeper is called while mu is held.
 	mu                sync.Mutex
@@ -65,7 +68,7 @@
 func newPermitBroker(self view.Instance, c clock.Clock, board *view.Board, client *peers.Client, targetHasLimit func(target string) bool, log func(string, ...any)) *permitBroker {
 	b := &permitBroker{
 		self: self, clock: c, board: board, peers: client, targetHasLimit: targetHasLimit, log: log, unresponsiveUntil: map[string]clock.Instant{}, origins: map[string]permitOrigin{},
-		groupsByService: map[string]*serviceGroups{}, chooser: permit.NewChooser(c, self.DataCentre),
+		groupsByService: map[string]*serviceGroups{}, chooser: permit.NewChooser(c, self.DataCentre), fullPools: permit.NewFullPools(c),
 	}
 	b.ownPools = permit.NewKeeper(c, b.poolTargets)
 	b.fallbackPools = permit.NewKeeper(c, b.fallbackTargets)
@@ -183,7 +186,8 @@
 	if len(groups) < 2 {
 		return b.acquireFromKeeper(ctx, ask, "")
 	}
-	for _, g := range b.chooser.Candidates(ask.Service, groups, ask.Abroad) {
+	waits := waitsName(ask)
+	for _, g := range b.chooser.Candidates(waits, groups, ask.Abroad) {
 		ask.Group = g.Name
 		ask.NoQueue = true
 		p, err := b.acquireFromKeeper(ctx, ask, g.DataCentre)
@@ -191,9 +195,9 @@
 		if !errors.As(err, &refused) {
 			return p, err
 		}
-		b.chooser.RecordWait(ask.Service, g.Name, refused.RetryAfter)
+		b.chooser.RecordWait(waits, g.Name, refused.RetryAfter)
 	}
-	g := b.chooser.ShortestWait(ask.Service, groups, ask.Abroad)
+	g := b.chooser.ShortestWait(waits, groups, ask.Abroad)
 	ask.Group = g.Name
 	ask.NoQueue = false
 	p, err := b.acquireFromKeeper(ctx, ask, g.DataCentre)
@@ -201,15 +205,24 @@
 	return p, err
 }
 
+// waitsName returns the name under which the chooser has the waits of a service's groups. In a
+// contended service more urgent requests wait less, so each priority has waits of its own.
+func waitsName(ask permit.Ask) string {
+	if !ask.Contended {
+		return ask.Service
+	}
+	return ask.Service + "/" + strconv.Itoa(ask.Priority)
+}
+
 // recordWait records the wait in a group's queue: that of the permit, or the one that a refusal
 // gives.
 func (b *permitBroker) recordWait(ask permit.Ask, p permit.Permit, err error) {
 	var refused *permit.RefusedError
 	switch {
 	case err == nil:
-		b.chooser.RecordWait(ask.Service, ask.Group, p.Waited)
+		b.chooser.RecordWait(waitsName(ask), ask.Group, p.Waited)
 	case errors.As(err, &refused):
-		b.chooser.RecordWait(ask.Service, ask.Group, refused.RetryAfter)
+		b.chooser.RecordWait(waitsName(ask), ask.Group, refused.RetryAfter)
 	}
 }
 
@@ -221,9 +234,14 @@
 		return b.acquireLocally(ctx, b.ownPools, ask)
 	}
 	if !b.isUnresponsive(keeper.Address) {
+		if err := b.fullPools.Refuse(ask); err != nil {
+			return permit.Permit{}, err
+		}
 		reply, err := b.acquireRemotely(ctx, keeper.Address, ask)
 		if err == nil && !b.hasOlderRegistry(reply) {
-			return b.acceptReply(keeper.Address, ask, reply)
+			p, err := b.acceptReply(keeper.Address, ask, reply)
+			b.fullPools.RecordOutcome(ask, err)
+			return p, err
 		}
 		if err == nil {
 			return b.acquireLocally(ctx, b.fallbackPools, ask)
--- a/instance/broker_test.go
+++ b/instance/broker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,9 +13,21 @@
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/peerapi"
 	"lycheehall.example/lycheehall/transport/peers"
 )
 
+// fullKeeper is an instance that refuses every ask with ReasonFull, and counts the asks.
+type fullKeeper struct {
+	peerBackend
+	asks atomic.Int64
+}
+
+func (k *fullKeeper) Acquire(context.Context, *peerapi.AcquireArgs) *peerapi.AcquireReply {
+	k.asks.Add(1)
+	return &peerapi.AcquireReply{Reason: permit.ReasonFull, RetryAfter: 60 * time.Millisecond}
+}
+
 var _ = Describe("a permit broker", func() {
 	var (
 		board *view.Board
@@ -94,6 +107,33 @@
 		Expect(err).To(MatchError(ContainSubstring(permit.ReasonNoTarget)))
 	})
 
+	// Guards against a message to the keeper for each of many requests that it can only refuse, as for a
+	// key with more requests than its owner can serve.
+	It("refuses contended asks without a message for a short time after the keeper has refused one", func() {
+		listTarget(func(*view.Target) {})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		keeper := &fullKeeper{}
+		server, err := peers.NewServer(listener, peers.Security{}, keeper)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		go server.Serve()
+		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, []view.Instance{{ID: "i2.1", Address: listener.Addr().String(), Weight: 1000}})
+		acquire := func(contended bool) {
+			ask := permit.Ask{ID: "1", Service: "keyed", Target: "k1", Rule: "r", Contended: contended, Aim: time.Second, AimLeft: time.Second, Left: 4 * time.Second}
+			_, err := b.Acquire(context.Background(), ask)
+			Expect(err).To(MatchError(&permit.RefusedError{Reason: permit.ReasonFull, RetryAfter: 60 * time.Millisecond}))
+		}
+		acquire(true)
+		acquire(true)
+		Expect(keeper.asks.Load()).To(BeEquivalentTo(1))
+		acquire(false)
+		Expect(keeper.asks.Load()).To(BeEquivalentTo(2))
+		time.Sleep(70 * time.Millisecond)
+		acquire(true)
+		Expect(keeper.asks.Load()).To(BeEquivalentTo(3))
+	})
+
 	It("finds the same keeper for a group whatever the order of the instances", func() {
 		instances := []view.Instance{{ID: "a", DataCentre: "dc1", Weight: 0.2}, {ID: "b", DataCentre: "dc0", Weight: 0.2}, {ID: "c", DataCentre: "dc0", Weight: 0.8}}
 		board.SetInstances(view.InstancesVersion{Term: 1, Count: 2}, instances)
