--- a/coordination/permit/contended_simulation_test.go
+++ b/coordination/permit/contended_simulation_test.go
@@ -107,3 +107,22 @@
 	}
 	return got / math.Max(all, 1)
 }
+
+// addKeeper adds a keeper with an empty state. The given number of keepers, the newest ones, are asked
+// from now on; the others grant their queues.
+func (r *simulationRun) addKeeper(asked int) {
+	keeper := newPool()
+	keeper.setTargets(r.simulation.targets, r.now)
+	r.keepers, r.asked = append(r.keepers, keeper), asked
+}
+
+// loseKeeper replaces the keeper by one with an empty state. Queued requests are asked for again when
+// their instances have noticed the loss.
+func (r *simulationRun) loseKeeper() {
+	r.addKeeper(1)
+	r.keepers = r.keepers[1:]
+	for _, q := range r.waiting {
+		q.at = r.now.Add(250 * time.Millisecond)
+	}
+	r.backingOff, r.waiting = append(r.backingOff, r.waiting...), nil
+}
--- a/coordination/permit/simulation_test.go
+++ b/coordination/permit/simulation_test.go
@@ -25,6 +25,8 @@
 	// others come from instances of an older build.
 	contended bool
 	ownBuild  float64
+	// onStep, if set, is called at each step and may change the keepers.
+	onStep func(*simulationRun)
 	// thirds is set if callers wait for a Retry-After up to a third of the time that they have left,
 	// instead of retrying only if it is within that time.
 	thirds bool
@@ -64,6 +66,7 @@
 	took    time.Duration
 	waiter  *waiter
 	permit  Permit
+	keeper  *pool
 }
 
 // run runs the simulation and returns the fraction of each rule's requests that was answered within
@@ -87,15 +90,21 @@
 		r.counts[t.rule] = &outcome{}
 		peak = max(peak, t.burst.factor)
 	}
+	r.keepers = []*pool{r.fixture.pool}
 	next := start
 	for r.now = start; r.now < start.Add(time.Duration(p.seconds)*time.Second); r.now = r.now.Add(simulationStep) {
 		if r.now.Sub(start)%disturbedEvery == 0 {
 			r.disturb()
 		}
+		if r.onStep != nil {
+			r.onStep(r)
+		}
 		running := len(r.running)
 		r.running = due(r.running, r.now, r.finish)
 		if !r.thirds || len(r.running) < running || r.now.Sub(start)%serveInterval == 0 {
-			r.serveQueue(r.now)
+			for _, keeper := range r.keepers {
+				keeper.serveQueue(r.now)
+			}
 			r.collect()
 		}
 		r.backingOff = due(r.backingOff, r.now, r.send)
@@ -118,6 +127,10 @@
 	// and will retry.
 	waiting, running, backingOff []*request
 	counts                       map[string]*outcome
+	// keepers are the pools of the same slots, each with a keeper of its own. Asks are distributed
+	// over the last asked of them.
+	keepers []*pool
+	asked   int
 }
 
 // disturb chooses anew which targets are disturbed.
@@ -144,6 +157,10 @@
 
 // send asks for a permit for a request.
 func (r *simulationRun) send(q *request) {
+	if r.asked > 0 {
+		r.fixture.pool = r.keepers[len(r.keepers)-1-r.random.IntN(r.asked)]
+	}
+	q.keeper = r.fixture.pool
 	w, p, err := r.ask(func(a *Ask) {
 		a.Rule, a.Priority, a.DataCentre = q.traffic.rule, q.traffic.priority, "dc1"
 		a.AimLeft, a.Left = q.first.Add(q.traffic.aim).Sub(r.now), q.first.Add(q.traffic.timeout).Sub(r.now)
@@ -196,7 +213,7 @@
 	if r.reportsSlowness {
 		report.Slowness = r.slowness[q.permit.Target]
 	}
-	r.report(report, r.now)
+	q.keeper.report(report, r.now)
 	switch took := r.now.Sub(q.first); {
 	case took <= q.traffic.aim:
 		r.counts[q.traffic.rule].inTime++
