Keep callers that are refused again when they return in the simulation

The list of callers that wait before they return was replaced after those that were due had sent their requests, so a caller refused again at that moment was lost: up to two fifths of the less urgent kind at 1.4 times the capacity were neither served nor counted as refused. Their second return is simulated now.

--- a/coordination/permit/simulation_test.go
+++ b/coordination/permit/simulation_test.go
@@ -107,7 +107,10 @@
 			}
 			r.collect()
 		}
-		r.backingOff = due(r.backingOff, r.now, r.send)
+		backingOff := r.backingOff
+		r.backingOff = nil
+		backingOff = due(backingOff, r.now, r.send)
+		r.backingOff = append(backingOff, r.backingOff...)
 		for next <= r.now {
 			r.arrive(peak)
 			next = next.Add(time.Duration(r.random.ExpFloat64() / p.perSecond / peak * float64(time.Second)))
