--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -80,6 +80,8 @@
 	queuedFor       time.Duration
 	waitedForUpdate time.Duration
 	mapVersion      uint64
+	// contended says that kinds of requests compete for the targets of the service.
+	contended bool
 	// outcomeUnknown says that an attempt may have been executed.
 	outcomeUnknown bool
 	lastErr        error
@@ -279,6 +281,7 @@
 	}
 	if contended := c.h.config.Contended; contended != nil && contended(c.snapshot.Rules, c.service.Name) {
 		ask.Contended, ask.Aim = true, time.Duration(c.then.Aim)
+		c.contended = true
 	}
 	if target == "" {
 		ask.Exclude = c.targetsToAvoid()
@@ -340,6 +343,9 @@
 		fields = append(fields, "service", c.service.Name, "tries", c.attempts, "targets", c.triedTargets,
 			"queued_ms", c.queuedFor.Milliseconds(), "held_ms", c.waitedForUpdate.Milliseconds())
 	}
+	if c.contended {
+		fields = append(fields, "contended", true, "priority", c.then.Priority)
+	}
 	if c.keyed {
 		fields = append(fields, "key", c.key, "map", c.mapVersion)
 	}
--- a/transport/front/contended_test.go
+++ b/transport/front/contended_test.go
@@ -20,5 +20,7 @@
 		Expect(f.permits.asks[0].Aim).To(Equal(500 * time.Millisecond))
 		Expect(f.permits.asks[1].Contended).To(BeFalse())
 		Expect(f.permits.asks[1].Aim).To(BeZero())
+		Expect(f.logLines[0]).To(ContainSubstring("contendedtruepriority"))
+		Expect(f.logLines[1]).NotTo(ContainSubstring("contended"))
 	})
 })
