Bound Retry-After in contended pools by the time that callers wait

A refused request for which no capacity is expected was told its whole remaining time as Retry-After. A caller that honours that returns at its deadline. The remaining time of a queued request is counted from now rather than from its arrival.

--- a/coordination/permit/contended.go
+++ b/coordination/permit/contended.go
@@ -196,16 +196,23 @@
 // refuseFull returns the refusal of a request that would get its slot after the given wait, and
 // reserves capacity for its return.
 func (p *pool) refuseFull(w *waiter, wait time.Duration, now clock.Instant) *RefusedError {
-	retryAfter := max(minRetryAfter, min(wait, w.ask.Left))
 	r := w.rank(now)
 	r.late = true
-	if p.contention.reserve(w, r, retryAfter, now) {
+	retryAfter := w.retryAfter(wait, now)
+	if wait <= retryAfter && p.contention.reserve(w, r, retryAfter, now) {
 		countContended(w.ask.Rule, "reserved")
 	}
 	countContended(w.ask.Rule, "refused-full")
 	return &RefusedError{Reason: ReasonFull, RetryAfter: retryAfter}
 }
 
+// retryAfter returns the time after which the caller of a refused request should return. If no
+// capacity is expected in the time that callers wait, it is that time: a later one has no effect.
+func (w *waiter) retryAfter(wait time.Duration, now clock.Instant) time.Duration {
+	longest := time.Duration(float64(w.deadline.Sub(now)) * callerWaitShare)
+	return max(minRetryAfter, min(wait, longest))
+}
+
 // refuseOldest refuses the oldest queued request of the new one's priority if the queue is longer
 // than its aim. The oldest ones of a standing queue are served last, and would be late.
 func (p *pool) refuseOldest(w *waiter, now clock.Instant) {
@@ -301,7 +308,7 @@
 	ahead, aheadByRule := time.Duration(0), map[string]time.Duration{}
 	for _, w := range p.waiting {
 		if now.Add(w.expectedNow/2) > w.deadline {
-			p.refuseLate(w, minRetryAfter)
+			p.refuseLate(w, 0, now)
 			continue
 		}
 		if t := p.pickTarget(w, now); t != nil {
@@ -310,7 +317,7 @@
 		}
 		if r := w.rank(now); r.late {
 			if wait := p.contendedWaitBehind(w, r, ahead, aheadByRule[w.ask.Rule], now); now.Add(wait+w.expectedNow/2) > w.deadline {
-				p.refuseLate(w, wait)
+				p.refuseLate(w, wait, now)
 				continue
 			}
 		}
@@ -323,9 +330,9 @@
 }
 
 // refuseLate refuses a queued request that cannot be served before its deadline any more.
-func (p *pool) refuseLate(w *waiter, wait time.Duration) {
+func (p *pool) refuseLate(w *waiter, wait time.Duration, now clock.Instant) {
 	countContended(w.ask.Rule, "refused-late")
-	w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: max(minRetryAfter, min(wait, w.ask.Left))}}
+	w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: w.retryAfter(wait, now)}}
 }
 
 // promoteStarved moves the first request of each starved kind to the front of the sorted queue, the
--- a/coordination/permit/contended_test.go
+++ b/coordination/permit/contended_test.go
@@ -169,7 +169,8 @@
 		g.It("are bounded, and are made only for times up to which callers wait", func() {
 			fill()
 			for range 4 * maxReservations {
-				f.ask(patient)
+				_, _, err := f.ask(patient)
+				Expect(err.(*RefusedError).RetryAfter).To(BeNumerically("<=", 2*time.Second))
 			}
 			Expect(len(f.contention.reservations)).To(BeNumerically("<=", maxReservations))
 			for _, r := range f.contention.reservations {
--- a/coordination/permit/reservations.go
+++ b/coordination/permit/reservations.go
@@ -28,10 +28,10 @@
 	from, until clock.Instant
 }
 
-// reserve records that the caller of a refused request was told to return after the given time.
+// reserve records, unless there are too many reservations, that the caller of a refused request was told to return after the given time.
 func (c *contention) reserve(w *waiter, r rank, retryAfter time.Duration, now clock.Instant) bool {
 	c.expireReservations(now)
-	if float64(retryAfter) > float64(w.ask.Left)*callerWaitShare || len(c.reservations) >= maxReservations {
+	if len(c.reservations) >= maxReservations {
 		return false
 	}
 	from := now.Add(retryAfter)
