Merge admission where kinds of requests compete

A more urgent kind with a short aim was refused while a less urgent one waited within its long aim, and a queue in order of arrival made most requests late under lasting overload.

Where any service is contended the decisions hold in all services of the deployment: the keyed services of both deployments are as full as the contended ones.

--- a/coordination/contention/contention.go
+++ b/coordination/contention/contention.go
@@ -14,7 +14,7 @@
 const (
 	// ModeOff: nowhere.
 	ModeOff Mode = "off"
-	// ModeAuto: where the rules in force let kinds compete, see rules.Set.Contended.
+	// ModeAuto: where the rules in force let kinds compete for a service, see rules.Set.AnyContended.
 	ModeAuto Mode = "auto"
 	// ModeOn: everywhere.
 	ModeOn Mode = "on"
@@ -30,19 +30,7 @@
 // Set sets the mode.
 func (s *Switch) Set(m Mode) { s.mode.Store(m) }
 
-// Service reports whether the decisions are in effect for a service. The rules may be nil.
-func (s *Switch) Service(set *rules.Set, service string) bool {
-	switch s.current() {
-	case ModeOn:
-		return true
-	case ModeAuto:
-		return set != nil && set.Contended(service)
-	}
-	return false
-}
-
-// Deployment reports whether the decisions that concern all services are in effect. The rules may be
-// nil.
+// Deployment reports whether the decisions are in effect in the deployment. The rules may be nil.
 func (s *Switch) Deployment(set *rules.Set) bool {
 	switch s.current() {
 	case ModeOn:
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -81,6 +81,8 @@
 	queuedFor       time.Duration
 	waitedForUpdate time.Duration
 	mapVersion      uint64
+	// contended says that the decisions for competing kinds of requests are in effect.
+	contended bool
 	// outcomeUnknown says that an attempt may have been executed.
 	outcomeUnknown bool
 	lastErr        error
@@ -281,6 +283,10 @@
 		Returning: c.returning, DataCentre: c.h.config.DataCentre,
 		Abroad: permit.CrossDataCentreCost(c.h.collector.MeanResponseSize(c.decision.Rule.Name)),
 	}
+	if contended := c.h.config.Contended; contended != nil && contended(c.snapshot.Rules) {
+		ask.Contended, ask.Aim = true, time.Duration(c.then.Aim)
+		c.contended = true
+	}
 	if target == "" {
 		ask.Exclude = c.targetsToAvoid()
 	}
@@ -341,6 +347,9 @@
 		fields = append(fields, "service", c.service.Name, "tries", c.attempts, "targets", c.triedTargets,
 			"queued_ms", c.queuedFor.Milliseconds(), "held_ms", c.waitedForUpdate.Milliseconds())
 	}
+	if c.contended {
+		fields = append(fields, "contended", true, "priority", c.then.Priority)
+	}
 	if c.keyed {
 		fields = append(fields, "key", c.key, "map", c.mapVersion)
 	}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -53,6 +53,9 @@
 	// StallTimeout is how long a caller may take nothing of a response before it is cut off; 0 means
 	// defaultStallTimeout. It is only used while Memory is on.
 	StallTimeout time.Duration
+	// Contended reports whether the decisions for competing kinds of requests are in effect under the
+	// rules in force. If it is nil, they are not.
+	Contended func(set *rules.Set) bool
 }
 
 // Handler is the HTTP handler for callers.
