Serve the newest requests first as soon as a queue is a standing one

A queue was taken for a standing one only after a whole aim, by a history for each priority. The rule without a history is kept for being simpler.

--- a/coordination/permit/contended.go
+++ b/coordination/permit/contended.go
@@ -18,8 +18,8 @@
 	// contendedFor is how long a pool stays contended after the last ask with Contended set. Asks
 	// of instances of an older build in that time are decided in the same way.
 	contendedFor = 5 * time.Second
-	// standingShare is the share of its aim that a request waits in a standing queue; see
-	// contention.standingSince.
+	// standingShare is the share of its aim that the oldest request of a standing queue has waited. In
+	// a shorter queue the order by arrival has more requests in time.
 	standingShare = 1.0 / 4
 )
 
@@ -30,9 +30,9 @@
 	// kinds holds the rates of each rule's requests.
 	kinds        map[string]*kind
 	reservations []reservation
-	// standingSince holds, for each priority, since when a request that has waited for more than
-	// standingShare of its aim has always been in the queue.
-	standingSince map[int]clock.Instant
+	// standing holds the priorities whose queue is a standing one: a request that can be in time has
+	// waited for standingShare of its aim.
+	standing map[int]bool
 }
 
 // countContended counts what became of an ask for a permit in a contended pool.
@@ -46,7 +46,7 @@
 	switch {
 	case a.Contended:
 		if p.contention == nil {
-			p.contention = &contention{since: now, kinds: map[string]*kind{}, standingSince: map[int]clock.Instant{}}
+			p.contention = &contention{since: now, kinds: map[string]*kind{}, standing: map[int]bool{}}
 		}
 		p.contention.until = now.Add(contendedFor)
 	case p.contention != nil && now >= p.contention.until:
@@ -105,36 +105,20 @@
 	return rank{late: !w.inTime(now), priority: w.ask.Priority, first: w.firstArrival(), newestFirst: w.newestFirst}
 }
 
-// updateStanding updates which queues are standing ones, and sets newestFirst of the requests in them.
-// A queue counts as standing when it has existed for the aim of its requests: shorter ones are
-// fluctuations, in which the order by arrival has more requests in time.
+// updateStanding finds the priorities whose queue is a standing one, and sets newestFirst of the requests
+// in it.
 func (p *pool) updateStanding(now clock.Instant) {
-	standing := map[int]bool{}
-	since := p.contention.standingSince
+	clear(p.contention.standing)
 	for _, w := range p.waiting {
-		if aim := w.wholeAim(); w.inTime(now) && float64(now.Sub(w.firstArrival())) >= standingShare*float64(aim) {
-			standing[w.ask.Priority] = true
-			if _, known := since[w.ask.Priority]; !known {
-				since[w.ask.Priority] = now
-			}
-		}
-	}
-	for priority := range since {
-		if !standing[priority] {
-			delete(since, priority)
+		if w.inTime(now) && float64(now.Sub(w.firstArrival())) >= standingShare*float64(w.wholeAim()) {
+			p.contention.standing[w.ask.Priority] = true
 		}
 	}
 	for _, w := range p.waiting {
-		w.newestFirst = p.contention.newestFirst(w, now)
+		w.newestFirst = p.contention.standing[w.ask.Priority]
 	}
 }
 
-// newestFirst reports whether the queue that the request belongs to is a standing one.
-func (c *contention) newestFirst(w *waiter, now clock.Instant) bool {
-	since, known := c.standingSince[w.ask.Priority]
-	return known && now.Sub(since) > w.wholeAim()
-}
-
 // recordAsk updates the statistics of a contended pool with an ask that was granted at once or is not
 // granted yet. An ask with NoQueue that gets no slot is not recorded: it is sent to another pool next.
 func (p *pool) recordAsk(w *waiter, granted bool, now clock.Instant) {
@@ -163,7 +147,7 @@
 func (p *pool) admitContended(w *waiter, now clock.Instant) error {
 	c := p.contention
 	p.updateStanding(now)
-	w.newestFirst = c.newestFirst(w, now)
+	w.newestFirst = c.standing[w.ask.Priority]
 	r := w.rank(now)
 	reserved := c.takeReservation(w, now)
 	wait := p.contendedWait(w, r, now)
