Let a rule's limit say that it bounds all instances together

A limit counts on each instance, so that its sum grows with the number of instances. Nothing enforces it yet. Specs of protocol/rules pass.

--- a/protocol/rules/check.go
+++ b/protocol/rules/check.go
@@ -193,6 +193,11 @@
 	if l.PerSecond == 0 && l.Concurrent == 0 {
 		c.report("then.limit", "limits nothing; set per_second or concurrent, or remove it")
 	}
+	switch l.Scope {
+	case "", ScopeInstance, ScopeAll:
+	default:
+		c.report("then.limit.scope", "is %q; write %q or %q", string(l.Scope), string(ScopeInstance), string(ScopeAll))
+	}
 	if l.Burst == 0 {
 		l.Burst = max(1, int(l.PerSecond))
 	}
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -46,6 +46,9 @@
 	// contended holds the contended services; see Contended.
 	contendedOnce sync.Once
 	contended     map[string]bool
+	// shared holds the rules with a limit on all instances together; see SharedLimits.
+	sharedOnce sync.Once
+	shared     []*Rule
 }
 
 // AddWarnings adds mistakes in services or rules that could not be used, while the rest of the set
--- a/protocol/rules/types.go
+++ b/protocol/rules/types.go
@@ -81,7 +81,7 @@
 	Idempotent bool `toml:"idempotent"`
 	// Deadline is the time limit for the whole request. Default 3s, at most 60s.
 	Deadline Duration `toml:"deadline"`
-	// Limit limits the requests of the rule on each instance.
+	// Limit limits the requests of the rule, on each instance or on all of them together.
 	Limit *Limit `toml:"limit"`
 	// Refuse is the response to a request that is not to be executed.
 	Refuse *Refuse `toml:"refuse"`
@@ -103,7 +103,7 @@
 	Weight int `toml:"weight"`
 }
 
-// Limit limits the requests on each instance. Requests above it are refused immediately.
+// Limit limits the requests of a rule. Requests above it are refused immediately.
 type Limit struct {
 	// PerSecond is the rate in requests a second, with bursts of up to Burst; 0 means no limit.
 	PerSecond float64 `toml:"per_second"`
@@ -111,8 +111,21 @@
 	Burst int `toml:"burst"`
 	// Concurrent is the largest number of requests in flight; 0 means no limit.
 	Concurrent int `toml:"concurrent"`
+	// Scope says whether the limit applies to each instance or to all of them together: ScopeInstance
+	// (the default; also if empty) or ScopeAll.
+	Scope Scope `toml:"scope"`
 }
 
+// Scope says which requests count towards a limit.
+type Scope string
+
+const (
+	// ScopeInstance: those on one instance.
+	ScopeInstance Scope = "instance"
+	// ScopeAll: those on all instances together.
+	ScopeAll Scope = "all"
+)
+
 // Refuse is a fixed response.
 type Refuse struct {
 	// Status is the HTTP status, 400 to 599.
