Carry demand and shares of limits in the reports between instances

Nothing used the shares of coordination/quota. Reports to the leader now carry the demand for limits with scope "all", and replies the shares. A tree relay forwards the reports of its members and hands out the leader's shares for them. The leader grants under the lock that is taken to give the lease up, and only while its lease is valid. The request path asks the holder for rules with scope "all" only; a refusal is 429 limit with the time until there is probably capacity. Without such a rule the new fields are absent.

--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -12,6 +12,7 @@
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
@@ -57,6 +58,9 @@
 	// TargetStatus holds the status that targets have reported in responses to this instance. If
 	// nil, the coordinator creates a tracker of its own.
 	TargetStatus *targetstatus.Tracker
+	// Quota has this instance's shares of limits on all instances. If nil, the coordinator creates a
+	// holder of its own.
+	Quota *quota.Holder
 }
 
 // Rows of this package in the store. The lease and the maps share a part, so that each change of a
@@ -161,6 +165,9 @@
 	if config.TargetStatus == nil {
 		config.TargetStatus = targetstatus.NewTracker(c, 0)
 	}
+	if config.Quota == nil {
+		config.Quota = quota.NewHolder(c)
+	}
 	return &Coordinator{
 		config: config, clock: c, store: s, board: board, peers: peers, orders: orders,
 		collector: collector, aggregator: demand.NewAggregator(), log: log,
--- a/coordination/lead/follow.go
+++ b/coordination/lead/follow.go
@@ -97,6 +97,7 @@
 	if c.isStoreRelay() || c.hasDownstreams() {
 		args.Wait = relayMaxReplyDelay
 	}
+	c.addQuotaReport(args)
 	begun := c.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	reply, err := c.peers.Sync(callCtx, address, args)
@@ -112,7 +113,9 @@
 	c.mu.Lock()
 	c.leaderRepliedAt = c.clock.Now()
 	c.mu.Unlock()
-	if !c.applyReply(begun, args, reply) {
+	adopted := c.applyReply(begun, args, reply)
+	c.adoptQuota(reply)
+	if !adopted {
 		// The leader has not yet read what is known here; it will within pollInterval.
 		sleep(ctx, pollInterval/4)
 	}
--- a/coordination/lead/sync.go
+++ b/coordination/lead/sync.go
@@ -43,6 +43,7 @@
 	c.awaitUpdate(ctx, t, args)
 	t.noteMember(args.Self, c.clock.Now(), args.Leaving)
 	reply := c.updateFor(args)
+	t.grantShares(args, reply)
 	now := c.clock.Now()
 	reply.Held = now.Sub(begun)
 	c.mu.Lock()
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -10,7 +10,9 @@
 	"lycheehall.example/lycheehall/coordination/assign"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/rules"
 )
 
 const (
@@ -30,7 +32,7 @@
 	stored  *storedRows
 	begunAt clock.Instant
 
-	// mu guards the fields from holder to knewMembers. No lock but the Board's is taken while it is
+	// mu guards the fields from holder to quotaRules. No lock but the Board's is taken while it is
 	// held.
 	mu              sync.Mutex
 	holder          lease.OwnLease
@@ -40,6 +42,9 @@
 	membersJoined bool
 	// knewMembers says that the members of the former leader were known.
 	knewMembers bool
+	// quota grants shares of the limits on all instances in quotaRules.
+	quota      *quota.Allocator
+	quotaRules *rules.Set
 	// formerGrantsUntil is when all grants of former terms have expired; Never if that is not
 	// known.
 	formerGrantsUntil clock.Instant
@@ -56,6 +61,7 @@
 	extendHolds  bool
 	ended        bool
 	loadReadAt   clock.Instant
+	ownSharesAt  clock.Instant
 	actions      chan func()
 	stop         chan struct{}
 	stopOnce     sync.Once
@@ -73,10 +79,12 @@
 	now := c.clock.Now()
 	t := &term{
 		c: c, stored: s, begunAt: now, managers: map[string]*assign.Manager{}, members: map[string]*member{},
-		renewAt: now, retryAt: now, loadReadAt: clock.Never, formerGrantsUntil: clock.Never,
+		renewAt: now, retryAt: now, loadReadAt: clock.Never, ownSharesAt: clock.Never, formerGrantsUntil: clock.Never,
 		actions: make(chan func(), 1024), stop: make(chan struct{}), exited: make(chan struct{}),
 	}
 	t.holder.Renewed(confirmed)
+	// In the first term of all there are no shares of a former leader.
+	t.quota = quota.NewAllocator(s.lease.Term, s.lease.Term > 1, now)
 	c.mu.Lock()
 	if c.formerTerm.nextTerm == s.lease.Term {
 		t.formerGrantsUntil = c.formerTerm.grantsUntil
@@ -145,6 +153,7 @@
 	}
 	t.refreshTargets(now)
 	t.refreshLoad(now)
+	t.grantOwnShares(now)
 	t.checkStoreAvailable(now, until)
 	for _, m := range t.managers {
 		for _, o := range m.DueOrders(now, t.storeUnavailable) {
--- a/coordination/lead/tree.go
+++ b/coordination/lead/tree.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/peerapi"
 )
@@ -50,6 +51,12 @@
 	shuttingDown bool
 	// forwardedAt is when this instance last reported to the leader that the instance had reported.
 	forwardedAt clock.Instant
+	// quota is its latest report about limits on all instances, forwardedQuota the number of the
+	// latest one that was forwarded. shares are those that the leader has granted to it, until they
+	// are handed out.
+	quota          *quota.Report
+	forwardedQuota uint64
+	shares         *quota.Shares
 }
 
 // treeRelays returns the addresses of the relays of a data centre in ranking order; none if there
@@ -88,6 +95,7 @@
 	args.Relayed = true
 	args.Wait = maxReplyDelay - relayMaxReplyDelay
 	args.Work, args.Pace = c.collector.TakeMeasurements()
+	c.addQuotaReport(args)
 	begun := c.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	reply, err := c.peers.Sync(callCtx, relay, args)
@@ -104,7 +112,9 @@
 	c.setLeader(reply.Leader)
 	c.mu.Unlock()
 	c.noteFollowing()
-	if !c.applyReply(begun, args, reply) {
+	adopted := c.applyReply(begun, args, reply)
+	c.adoptQuota(reply)
+	if !adopted {
 		sleep(ctx, pollInterval/4)
 	}
 	return true
@@ -128,6 +138,7 @@
 	defer c.mu.Unlock()
 	reply.Lease = c.observer.Version()
 	reply.Leader = c.leader
+	reply.Quota = c.takeSharesFor(args.Self.ID)
 	return reply
 }
 
@@ -152,6 +163,7 @@
 	}
 	d.reportedAt = c.clock.Now()
 	d.shuttingDown = args.Leaving
+	d.noteQuota(args.Quota)
 }
 
 // downstreamMembers returns, for this instance's own report, the instances that have reported
@@ -171,7 +183,7 @@
 			continue
 		}
 		d.forwardedAt = now
-		list = append(list, peerapi.RelayedInstance{Instance: d.Instance, Age: now.Sub(d.reportedAt), Leaving: d.shuttingDown})
+		list = append(list, peerapi.RelayedInstance{Instance: d.Instance, Age: now.Sub(d.reportedAt), Leaving: d.shuttingDown, Quota: d.takeQuota()})
 	}
 	return list
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"lycheehall.example/lycheehall/coordination/lead"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/eventlog"
@@ -76,6 +77,7 @@
 	pool         *upstream.Pool
 	targetStatus *targetstatus.Tracker
 	quarantine   *quarantine.Tracker
+	quota        *quota.Holder
 	handler      *front.Handler
 	coordinator  *lead.Coordinator
 	peerClient   *peers.Client
@@ -157,17 +159,18 @@
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewTracker(time.Now)
+	i.quota = quota.NewHolder(i.clock)
 	i.targetStatus = targetstatus.NewTracker(i.clock, time.Duration(i.settings.Drain))
 	i.broker = newPermitBroker(i.self, i.clock, i.board, i.peerClient, i.targetStatus.Limited, i.log.Event)
 	i.budget = front.NewRetryBudget(i.clock, front.RetryBudgetConfig{
 		Ratio: i.settings.Retries.Ratio, Slack: i.settings.Retries.Slack, Window: time.Duration(i.settings.Retries.Window),
 	})
 	i.handler = front.NewHandler(
-		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus},
+		front.Config{Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus, Quota: i.quota},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	i.coordinator = lead.New(
-		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balancePolicy, Quarantine: i.quarantine, TargetStatus: i.targetStatus},
+		lead.Config{Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balancePolicy, Quarantine: i.quarantine, TargetStatus: i.targetStatus, Quota: i.quota},
 		i.clock, i.platform.Store, i.board, &lamportPeers{i.peerClient, i.log}, orderClient, collector, i.log.Event)
 	i.callers = &http.Server{Handler: i.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes}
 	ready := http.NewServeMux()
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -11,6 +11,7 @@
 	"lycheehall.example/lycheehall/coordination/lease"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/timeline"
 )
@@ -46,6 +47,9 @@
 	// Leaving says that the instance is shutting down and takes no duties: work that an instance
 	// does for others, such as keeping pools of permits and relaying reports.
 	Leaving bool
+	// Quota is the instance's report about limits on all instances, if the relay has a newer one than
+	// it last forwarded.
+	Quota *quota.Report
 }
 
 // SyncArgs is a report to the leader. It also requests updates: everything that is newer than what
@@ -91,6 +95,8 @@
 	// leader's table that the sender has.
 	Quarantine        quarantine.Table
 	QuarantineVersion quarantine.Version
+	// Quota is the sender's report about limits on all instances; nil if no rule in force has one.
+	Quota *quota.Report
 	// Lamport is the sender's Lamport time.
 	Lamport uint64
 }
@@ -161,6 +167,10 @@
 	// known observations of requests during which targets exited.
 	Quarantine        quarantine.Table
 	QuarantineVersion quarantine.Version
+	// Quota holds the sender's shares of limits on all instances, MemberQuota those of the instances
+	// that report through the sender, by ID. A relay passes on those that it has got from the leader.
+	Quota       *quota.Shares
+	MemberQuota map[string]*quota.Shares
 	// Lamport is the replying instance's Lamport time.
 	Lamport uint64
 }
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -24,7 +24,7 @@
 	// stoppingRetryAfter is the Retry-After while this instance shuts down. The caller's next
 	// connection goes to another instance.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// limitRetryAfter is the Retry-After when the rule's limit is reached.
+	// limitRetryAfter is the Retry-After when the rule's limit on each instance is reached.
 	limitRetryAfter = time.Second
 	// unavailableRetryAfter is the Retry-After when the owner of the key was lost or no target
 	// could accept the request. Most keys of a lost owner are served again after the time to detect
@@ -99,9 +99,9 @@
 	if res, ok := c.checkQuarantine(); !ok {
 		return res
 	}
-	release, ok := c.h.limits.admit(c.snapshot.Rules, c.decision.Rule)
+	release, retryAfter, ok := c.admitByLimit()
 	if !ok {
-		return result{refusal: refusal{http.StatusTooManyRequests, "limit", limitRetryAfter}}
+		return result{refusal: refusal{http.StatusTooManyRequests, "limit", retryAfter}}
 	}
 	defer release()
 	c.h.budget.CountRequest(c.service.Name)
@@ -113,6 +113,16 @@
 	return res
 }
 
+// admitByLimit reports whether the request is within its rule's limit, and counts it if so. release
+// must be called when the request has ended.
+func (c *call) admitByLimit() (release func(), retryAfter time.Duration, ok bool) {
+	if limit := c.then.Limit; limit != nil && limit.Scope == rules.ScopeAll {
+		return c.h.config.Quota.Admit(c.decision.Rule)
+	}
+	release, ok = c.h.limits.admit(c.snapshot.Rules, c.decision.Rule)
+	return release, limitRetryAfter, ok
+}
+
 // route evaluates the rules and sets the rule, service, key and deadline of the request. It returns
 // false with a result if the request goes no further.
 func (c *call) route() (result, bool) {
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -14,6 +14,7 @@
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
@@ -46,6 +47,9 @@
 	// TargetStatus holds what targets have reported about themselves. If it is nil, the handler
 	// uses a tracker of its own.
 	TargetStatus *targetstatus.Tracker
+	// Quota has this instance's shares of limits on all instances. If it is nil, there are none, and
+	// requests of rules with such a limit are refused.
+	Quota *quota.Holder
 }
 
 // Handler is the HTTP handler for callers.
@@ -81,6 +85,9 @@
 	if config.TargetStatus == nil {
 		config.TargetStatus = targetstatus.NewTracker(c, 0)
 	}
+	if config.Quota == nil {
+		config.Quota = quota.NewHolder(c)
+	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
 		budget: budget, backends: NewBackendPicker(), callerRetries: NewCallerRetryDetector(), limits: newRuleLimits(), log: log, idPrefix: instance,
--- a/transport/front/rulelimits.go
+++ b/transport/front/rulelimits.go
@@ -8,7 +8,7 @@
 	"lycheehall.example/lycheehall/protocol/rules"
 )
 
-// ruleLimits enforces the rules' limits on this instance. No other lock is acquired while its lock
+// ruleLimits enforces the limits of rules that apply to each instance. No other lock is acquired while its lock
 // is held.
 type ruleLimits struct {
 	mu     sync.Mutex
@@ -63,7 +63,7 @@
 	next := map[string]*ruleLimit{}
 	for r := range set.All() {
 		configured := r.Then.Limit
-		if configured == nil {
+		if configured == nil || configured.Scope == rules.ScopeAll {
 			continue
 		}
 		if old := l.byRule[r.Name]; old != nil && old.config == *configured {
