--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -15,6 +15,10 @@
 const (
 	// averagingTime is the time over which the rate of requests is averaged.
 	averagingTime = 2 * time.Second
+	// idleAfter is the time without a request after which an instance counts as having none. The
+	// average alone would take 20 s to fall from 600 requests a second to none, and keep a share for
+	// that long.
+	idleAfter = 5 * time.Second
 	// assumedDuration is the assumed duration of a request until one of the rule has ended.
 	assumedDuration = 250 * time.Millisecond
 	// noShareRetryAfter is the Retry-After without a share when the leader has not said how long that
@@ -64,6 +68,7 @@
 	// arrivals are the requests since countedAt; rate is the average before.
 	arrivals  int
 	countedAt clock.Instant
+	arrivedAt clock.Instant
 	rate      float64
 	duration  time.Duration
 
@@ -196,6 +201,7 @@
 	h.expire(now)
 	l := h.limit(r.Name, now)
 	l.arrivals++
+	l.arrivedAt = now
 	l.refill(now)
 	limit := amountOf(r)
 	if limit.Rate > 0 && l.tokens < 1 || limit.Concurrent > 0 && l.running >= min(l.share.Concurrent, limit.Concurrent) {
@@ -237,7 +243,7 @@
 	l := h.limits[rule]
 	if l == nil {
 		l = &heldLimit{
-			updatedAt: now, countedAt: now, begun: now, wait: clock.Never, promised: clock.Never,
+			updatedAt: now, countedAt: now, begun: now, arrivedAt: clock.Never, wait: clock.Never, promised: clock.Never,
 			shareRate:       metrics.GetOrCreateGauge(fmt.Sprintf(`lycheehall_quota_share_per_second{rule=%q}`, rule), nil),
 			shareConcurrent: metrics.GetOrCreateGauge(fmt.Sprintf(`lycheehall_quota_share_concurrent{rule=%q}`, rule), nil),
 			admitted:        metrics.GetOrCreateCounter(fmt.Sprintf(`lycheehall_quota_admitted_total{rule=%q}`, rule)),
@@ -283,6 +289,9 @@
 		l.rate += weight * (float64(l.arrivals)/passed.Seconds() - l.rate)
 		l.arrivals, l.countedAt = 0, now
 	}
+	if now.Sub(l.arrivedAt) > idleAfter {
+		l.rate = 0
+	}
 	d := Demand{Rate: float32(l.rate), Running: l.running}
 	if l.rate >= activeRate || l.running > 0 {
 		d.Concurrent = float32(max(l.rate*l.meanDuration().Seconds(), float64(l.running)))
--- a/coordination/quota/plan.go
+++ b/coordination/quota/plan.go
@@ -16,7 +16,7 @@
 	// that one that gets its first request has some.
 	basePart = 0.1
 	// activeRate is the rate, in requests a second, from which on an instance counts as having
-	// requests. The estimate of the rate falls below it 6 s after a single request.
+	// requests.
 	activeRate = 0.02
 	// minRate is the smallest rate, in requests a second, that is given to an instance. With less, an
 	// instance would wait several seconds for each request while others have requests too.
