--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -200,7 +200,7 @@
 // and when an instance has joined.
 func (a *Allocator) plan(l *limitState, instance string, now clock.Instant) Amount {
 	_, known := l.planned[instance]
-	if l.planned == nil || now.Sub(l.plannedAt) >= planInterval || !known && now > l.plannedAt {
+	if l.planned == nil || now.Sub(l.plannedAt) >= planInterval || !known {
 		var list []participant
 		for id, in := range a.instances {
 			if now.Sub(in.reportedAt) < presentFor {
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -28,7 +28,7 @@
 	minRetryAfter = 50 * time.Millisecond
 	// maxPromised limits how far ahead callers are told to come back in addition to the wait of the
 	// first of them. Without it, callers that do not come back would make it ever longer.
-	maxPromised = 5 * time.Second
+	maxPromised = 2 * time.Second
 	// remembered is the number of reports of which the time of sending is remembered.
 	remembered = 32
 	// newFor is how long a limit counts as new. While it has no share, reports are answered sooner.
