Keep room for instances that have not reported on a new limit

The first instance to report on a new limit got all of it, and the others had none until it had confirmed a smaller share.

--- a/coordination/lead/quota.go
+++ b/coordination/lead/quota.go
@@ -132,7 +132,8 @@
 	}
 	if set != t.quotaRules {
 		t.quotaRules = set
-		t.quota.SetLimits(quota.LimitsOf(set.SharedLimits()))
+		t.quota.SetLimits(quota.LimitsOf(set.SharedLimits()), now)
 	}
+	t.quota.SetMembers(len(t.members))
 	return t.quota.Allocate(now, instance, r)
 }
--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -35,6 +36,8 @@
 	afterOthers bool
 	limits      map[string]*limitState
 	instances   map[string]*instanceState
+	// members is the number of instances, including those that have not reported to this leader.
+	members int
 	// ids lists the instances in order, as of sweptAt.
 	ids     []string
 	sweptAt clock.Instant
@@ -43,6 +46,8 @@
 // limitState is a limit and its division.
 type limitState struct {
 	Limit
+	// begunAt is when the limit came into force in this term.
+	begunAt clock.Instant
 	// longest is the longest deadline that the rule has had in this term.
 	longest time.Duration
 	// inUse holds what each instance may be using, total is the sum.
@@ -85,14 +90,17 @@
 	return a
 }
 
+// SetMembers sets the number of instances, including those that have not reported to this leader.
+func (a *Allocator) SetMembers(count int) { a.members = count }
+
 // SetLimits sets the limits in force. Shares of limits that are not in the list any more end with
 // their validity.
-func (a *Allocator) SetLimits(list []Limit) {
+func (a *Allocator) SetLimits(list []Limit, now clock.Instant) {
 	next := map[string]*limitState{}
 	for _, l := range list {
 		state := a.limits[l.Rule]
 		if state == nil {
-			state = &limitState{turns: turns{begun: map[string]clock.Instant{}, lastHeld: map[string]clock.Instant{}}}
+			state = &limitState{begunAt: now, turns: turns{begun: map[string]clock.Instant{}, lastHeld: map[string]clock.Instant{}}}
 		}
 		state.longest = max(state.longest, l.Deadline)
 		if state.Amount != l.Amount {
@@ -102,7 +110,7 @@
 		next[l.Rule] = state
 	}
 	a.limits = next
-	a.recount(a.sweptAt)
+	a.recount(now)
 }
 
 // Allocate answers a report of an instance. It returns nil if the report is not newer than one that
@@ -210,6 +218,14 @@
 				list = append(list, participant{id, in.demands[l.Rule]})
 			}
 		}
+		if now.Sub(l.begunAt) < presentFor {
+			// The instances learn of a new limit one after another. Those that have not reported yet
+			// count too. Otherwise the first one would get everything, and the others would have to
+			// wait until it has confirmed that it gives most of that up.
+			for n := len(list); n < a.members; n++ {
+				list = append(list, participant{id: fmt.Sprint("unknown ", n)})
+			}
+		}
 		l.planned, l.wait = divide(l.Amount, list, &l.turns, now)
 		for _, p := range list {
 			// Instances without a share are part of the plan too.
--- a/coordination/quota/failures_test.go
+++ b/coordination/quota/failures_test.go
@@ -42,7 +42,7 @@
 func (f *fleet) lead() {
 	f.term++
 	f.leader = quota.NewAllocator(f.term, f.term > 1, f.now)
-	f.leader.SetLimits(quota.LimitsOf(f.list()))
+	f.leader.SetLimits(quota.LimitsOf(f.list()), f.now)
 }
 
 func (f *fleet) list() []*rules.Rule { return []*rules.Rule{f.rule} }
@@ -261,7 +261,7 @@
 		f.rule = &rules.Rule{Name: "r", Then: rules.Then{Limit: &rules.Limit{PerSecond: 10, Burst: 10, Scope: rules.ScopeAll}}}
 		f.report("a")
 		Expect(f.rate("a")).To(BeNumerically("<=", 10))
-		f.leader.SetLimits(quota.LimitsOf(f.list()))
+		f.leader.SetLimits(quota.LimitsOf(f.list()), f.now)
 		f.settle(time.Second, nil, "a")
 		f.advance(quota.Validity)
 		Expect(f.rate("b")).To(BeZero())
@@ -296,6 +296,18 @@
 		AddReportEntry("admitted of 180", total)
 	})
 
+	// Guards against the first instance that reports on a new limit getting all of it.
+	It("has a part for instances that have not reported on a new limit yet", func() {
+		f := newFleet(rules.Limit{PerSecond: 12, Burst: 12, Concurrent: 12}, "a", "b", "c")
+		f.leader.SetMembers(3)
+		f.exchange("a", "b", "c")
+		for id := range f.holders {
+			Expect(f.holders[id].Share("r").Concurrent).To(Equal(4), id)
+		}
+		f.settle(10*time.Second, nil, "a", "b")
+		Expect(f.holders["a"].Share("r").Concurrent).To(Equal(6), "c does not report any more")
+	})
+
 	// Guards against a first request that is refused because its instance has had none before.
 	It("has a part for an instance that gets its first request", func() {
 		f := newFleet(rules.Limit{PerSecond: 100, Burst: 100}, "a", "b", "c")
--- a/coordination/quota/schedules_test.go
+++ b/coordination/quota/schedules_test.go
@@ -105,7 +105,7 @@
 	s.term++
 	s.leaderClock = s.newClock()
 	s.leader = quota.NewAllocator(s.term, afterOthers, s.leaderClock.Now())
-	s.leader.SetLimits(quota.LimitsOf([]*rules.Rule{s.rule}))
+	s.leader.SetLimits(quota.LimitsOf([]*rules.Rule{s.rule}), s.leaderClock.Now())
 }
 
 // send delivers a message never, once or twice.
