Leave rules that refuse out of the shared limits

A rule that refuses all requests and has a limit with scope "all" was reported and got shares that nothing uses. Specs of protocol/rules and coordination/quota pass.

--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -229,7 +229,9 @@
 		l.planned, l.wait = divide(l.Amount, list, &l.turns, now)
 		for _, p := range list {
 			// Instances without a share are part of the plan too.
-			l.planned[p.id] = l.planned[p.id]
+			if _, holds := l.planned[p.id]; !holds {
+				l.planned[p.id] = Amount{}
+			}
 		}
 		l.plannedAt = now
 	}
--- a/protocol/rules/sharedlimits.go
+++ b/protocol/rules/sharedlimits.go
@@ -5,11 +5,12 @@
 	"slices"
 )
 
-// SharedLimits returns the rules whose limit applies to all instances together, by name.
+// SharedLimits returns the rules whose limit applies to all instances together, by name. Rules that
+// refuse all requests are left out.
 func (s *Set) SharedLimits() []*Rule {
 	s.sharedOnce.Do(func() {
 		for r := range s.All() {
-			if r.Then.Limit != nil && r.Then.Limit.Scope == ScopeAll {
+			if r.Then.Refuse == nil && r.Then.Limit != nil && r.Then.Limit.Scope == ScopeAll {
 				s.shared = append(s.shared, r)
 			}
 		}
--- a/protocol/rules/sharedlimits_test.go
+++ b/protocol/rules/sharedlimits_test.go
@@ -9,7 +9,7 @@
 
 var _ = Describe("limits on all instances together", func() {
 	// Guards against limits that count on each instance by default being shared, and against a
-	// shared one that is left out.
+	// shared one that is left out. A rule that refuses needs no limit.
 	It("are those whose scope is all", func() {
 		set, err := rules.Parse("f", `
 [[service]]
@@ -23,6 +23,10 @@
 when = { path = "/b" }
 then = { route = "s", limit = { concurrent = 3, scope = "instance" } }
 [[rule]]
+name = "refused"
+when = { path = "/r" }
+then = { refuse = { status = 403 }, limit = { concurrent = 3, scope = "all" } }
+[[rule]]
 name = "a"
 then = { route = "s", limit = { concurrent = 3, scope = "all" } }
 `)
