--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -59,8 +59,8 @@
 	Concurrent int
 }
 
-// Share is an instance's share of the limit of a rule. Until Wait is over it is probably not larger
-// than now; Wait is only set while the share is zero.
+// Share is an instance's share of the limit of a rule. Wait is the expected time until the instance
+// has a share; it is only set if this one is zero.
 type Share struct {
 	Rule string
 	Amount
