Take chance out of the expected rate of the random schedules

The property test failed once in 100 schedules: 29 of 40 expected requests were admitted in 80 s by a limit of one concurrent request with random durations of up to 4 s, which happens by chance (2.8 standard deviations).

The spec for running requests of a lost instance passed without the guard that it is about since shares are valid for 5 s: its requests ended within the wait of a new leader. They now take up to 8 s, and it fails without the guard.

--- a/coordination/quota/failures_test.go
+++ b/coordination/quota/failures_test.go
@@ -30,7 +30,7 @@
 func newFleet(limit rules.Limit, ids ...string) *fleet {
 	limit.Scope = rules.ScopeAll
 	f := &fleet{manualClock: manualClock{clock.Instant(time.Hour)}, holders: map[string]*quota.Holder{}}
-	f.rule = &rules.Rule{Name: "r", Then: rules.Then{Limit: &limit, Deadline: rules.Duration(5 * time.Second)}}
+	f.rule = &rules.Rule{Name: "r", Then: rules.Then{Limit: &limit, Deadline: rules.Duration(8 * time.Second)}}
 	for _, id := range ids {
 		f.holders[id] = quota.NewHolder(f)
 	}
@@ -228,6 +228,7 @@
 		Expect(a.Share("r")).To(BeZero())
 	})
 
+	// The deadline is longer than the validity, so that requests outlast the wait of a new leader.
 	// Guards against running requests that are forgotten with the share, or with the leader, that
 	// admitted them.
 	DescribeTable("counts running requests of an instance that is lost until they have ended",
@@ -303,7 +304,7 @@
 		for id := range f.holders {
 			Expect(f.holders[id].Share("r").Concurrent).To(Equal(4), id)
 		}
-		f.settle(12*time.Second, nil, "a", "b")
+		f.settle(16*time.Second, nil, "a", "b")
 		Expect(f.holders["a"].Share("r").Concurrent).To(Equal(6), "c does not report any more")
 	})
 
--- a/coordination/quota/schedules_test.go
+++ b/coordination/quota/schedules_test.go
@@ -73,6 +73,9 @@
 	loss        float64
 	maxDelay    time.Duration
 	running     int
+	// steady says that all requests take half of the deadline, so that the rate of admissions does not
+	// vary by chance.
+	steady bool
 	// level is the fill of a leaky bucket with the limit's rate, as of levelAt.
 	level     float64
 	levelAt   time.Duration
@@ -153,7 +156,11 @@
 	}
 	i.admitted++
 	s.running++
-	s.at(s.now+time.Duration(s.random.Int64N(int64(s.rule.Deadline()))), func() {
+	took := s.rule.Deadline() / 2
+	if !s.steady {
+		took = time.Duration(s.random.Int64N(int64(s.rule.Deadline())))
+	}
+	s.at(s.now+took, func() {
 		s.running--
 		release()
 	})
@@ -257,7 +264,6 @@
 		}
 	}
 	if l.Concurrent > 0 {
-		// Requests take half of the deadline on average.
 		interval = max(interval, r.Deadline().Seconds()/2/float64(l.Concurrent))
 	}
 	return 1 / interval
@@ -275,7 +281,7 @@
 			for range rapid.IntRange(1, 25).Draw(t, "steps") {
 				s.step(t)
 			}
-			s.loss, s.maxDelay = 0, 20*time.Millisecond
+			s.loss, s.maxDelay, s.steady = 0, 20*time.Millisecond, true
 			if s.leader == nil {
 				s.lead(true)
 			}
@@ -293,7 +299,12 @@
 			if s.violation != "" {
 				t.Fatal(s.violation)
 			}
-			if perSecond, usable := float64(busy.admitted-before)/80, usableRate(s.rule, busy.demand); perSecond < 0.75*usable {
+			// Idle instances hold a tenth of a rate and up to a quarter of the concurrent requests.
+			part := 0.85
+			if limit.Concurrent > 0 {
+				part = 0.75
+			}
+			if perSecond, usable := float64(busy.admitted-before)/80, usableRate(s.rule, busy.demand); perSecond < part*usable {
 				t.Fatalf("%v requests a second of %v are admitted, with %+v", perSecond, usable, limit)
 			}
 		})
