Merge limits across all instances

A rule's limit held on each instance alone. With scope = "all" it bounds the sum over all instances: the leader gives out shares of limited validity by demand.

--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -14,6 +14,7 @@
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/coordination/permit"
 	"lycheehall.example/lycheehall/coordination/quarantine"
+	"lycheehall.example/lycheehall/coordination/quota"
 	"lycheehall.example/lycheehall/coordination/targetstatus"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
@@ -56,6 +57,9 @@
 	// Contended reports whether the decisions for competing kinds of requests are in effect under the
 	// rules in force. If it is nil, they are not.
 	Contended func(set *rules.Set) bool
+	// Quota has this instance's shares of limits on all instances. If it is nil, there are none, and
+	// requests of rules with such a limit are refused.
+	Quota *quota.Holder
 }
 
 // Handler is the HTTP handler for callers.
@@ -91,6 +95,9 @@
 	if config.TargetStatus == nil {
 		config.TargetStatus = targetstatus.NewTracker(c, 0)
 	}
+	if config.Quota == nil {
+		config.Quota = quota.NewHolder(c)
+	}
 	h := &Handler{
 		config: config, clock: c, board: board, upstream: up, permits: permits, collector: collector,
 		budget: budget, backends: NewBackendPicker(), callerRetries: NewCallerRetryDetector(), limits: newRuleLimits(), log: log, idPrefix: instance,
