Place keys by the effect of targets on lateness

Cause: all targets were equally utilised. With few slots and uneven speeds a slow target makes requests late at utilisations at which a fast one does not. Operators could see neither the speeds that the leader uses nor which ranges move to balance the load.

Speeds are those of Aggregator.Load, unchanged. Capacities are no longer computed while the interval between balancing attempts lasts. The status shows speeds; a keys-moved line and lycheehall_keys_moves_total show moves that balance the load.

--- a/cmd/lycheehall/operate.go
+++ b/cmd/lycheehall/operate.go
@@ -84,6 +84,9 @@
 		if t.ColdMs > 0 {
 			text += fmt.Sprintf("  cold for %d ms", t.ColdMs)
 		}
+		if t.Speed > 0 {
+			text += fmt.Sprintf("  speed %.2f", t.Speed)
+		}
 		fmt.Printf("  target %-24s %-12s %5d keys%s\n", t.ID, t.DataCentre, t.Keys, text)
 	}
 }
--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -31,6 +31,11 @@
 	// requestWork is the mean work of a request: for how many seconds it occupies a slot of an
 	// average target.
 	requestWork float64
+	// byLateness says that keys are placed by the effect of targets on lateness, which depends on
+	// utilisation, that of all targets together; see SetUneven and updateUtilisation.
+	byLateness  bool
+	utilisation float64
+	balancing   Balancing
 	// startedAt is when the leader took over and created the manager.
 	startedAt clock.Instant
 	// firstTargetAt is when the first target was listed; clock.Never before that.
@@ -120,6 +125,7 @@
 // store.
 func (m *Manager) RecordStored(stored *keyrange.Map) {
 	m.proposed = nil
+	m.balancing = Balancing{}
 	m.adopt(stored)
 }
 
@@ -128,6 +134,7 @@
 // under it.
 func (m *Manager) RecordNotStored() {
 	m.proposed = nil
+	m.balancing = Balancing{}
 	for key := range m.moves {
 		if key.fence > m.current.Version {
 			delete(m.moves, key)
--- a/coordination/assign/propose.go
+++ b/coordination/assign/propose.go
@@ -208,19 +208,24 @@
 
 // balance begins moves that balance the load, unless other changes are pending.
 func (m *Manager) balance(e *keyrange.Editor, now clock.Instant, moving int) {
-	targets := m.capacities(now, "")
-	every := min(maxBalanceInterval, max(minBalanceInterval, time.Duration(len(targets))*balanceIntervalPerTarget))
+	every := min(maxBalanceInterval, max(minBalanceInterval, time.Duration(m.eligibleTargets())*balanceIntervalPerTarget))
 	if m.balancedAt != clock.Never && now.Sub(m.balancedAt) < every {
 		return
 	}
+	if m.byLateness {
+		m.updateUtilisation(now)
+	}
 	m.balancedAt = now
+	targets := m.capacities(now, "")
 	room := max(minConcurrentMoves, len(targets)/targetsPerMove) - moving
 	if e.Changed() || room <= 0 || len(m.current.Ranges) > maxRanges {
 		return
 	}
 	policy := m.config.Policy
 	policy.MaxMoves = (room + 1) / 2
-	for _, mv := range keyrange.Plan(m.current, m.load, targets, policy) {
+	moves := keyrange.Plan(m.current, m.load, targets, policy)
+	for _, mv := range moves {
 		e.Move(mv.From, mv.To, mv.Next, false)
 	}
+	m.recordBalancing(moves, targets)
 }
--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -4,8 +4,8 @@
 // The work of a request is the time that an average target takes for it, estimated as the mean of
 // its rule. The slowness of a target is the time that a request takes there, divided by the time
 // that it takes at an average target; its speed is 1/slowness. A target may report its slowness, as
-// how many times as long as usual its work takes now. A reported value is used as if the target's
-// usual speed were average.
+// how many times as long as usual its work takes now. A reported value is used as slowness relative
+// to an average target: what targets report has been measured to include their usual speed.
 //
 // Lock order: no other lock is taken while the lock of a Collector or an Aggregator is held.
 package demand
@@ -293,11 +293,24 @@
 		load = &keyrange.Load{}
 		a.load[service] = load
 	}
+	return load, a.speeds()
+}
+
+// Speeds returns the speeds of the targets for which there are reports, where 1 is average, by target
+// ID.
+func (a *Aggregator) Speeds() map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.speeds()
+}
+
+// speeds implements Speeds. The caller must hold the lock.
+func (a *Aggregator) speeds() map[string]float64 {
 	speeds := make(map[string]float64, len(a.slowness))
 	for id, slowness := range a.slowness {
 		speeds[id] = 1 / max(slowness, 0.1)
 	}
-	return load, speeds
+	return speeds
 }
 
 // Limits returns the limits of the targets that report one, in requests a second from all instances
--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/keyrange"
 	"lycheehall.example/lycheehall/coordination/lease"
@@ -168,11 +170,27 @@
 // publishMap makes a stored map current, so that replies contain it.
 func (t *term) publishMap(service string, m *keyrange.Map) {
 	changed := m.Diff(t.managers[service].Map())
+	t.recordBalancing(service)
 	t.managers[service].RecordStored(m)
 	t.c.board.SetMap(service, m)
 	t.c.log("map-stored", "service", service, "map", m.Version, "ranges", len(m.Ranges), "changed", len(changed), "first", describeRanges(changed))
 }
 
+// recordBalancing logs and counts the moves of a stored map that balance the load. It must be called
+// before the manager is told that the map has been stored.
+func (t *term) recordBalancing(service string) {
+	b := t.managers[service].Balancing()
+	if len(b.Moves) == 0 {
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lycheehall_keys_moves_total{service=%q}`, service)).Add(len(b.Moves))
+	var first []string
+	for i, mv := range b.Moves[:min(maxLoggedRanges, len(b.Moves))] {
+		first = append(first, fmt.Sprintf("%d-%d %s at %.2f to %s at %.2f", mv.From, mv.To, b.Owners[i], b.Used[b.Owners[i]], mv.Next, b.Used[mv.Next]))
+	}
+	t.c.log("keys-moved", "service", service, "moves", len(b.Moves), "first", first)
+}
+
 // maxLoggedRanges limits how many changed ranges a log line lists.
 const maxLoggedRanges = 8
 
--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -57,6 +57,9 @@
 	// TargetStatus holds the status that targets have reported in responses to this instance. If
 	// nil, the coordinator creates a tracker of its own.
 	TargetStatus *targetstatus.Tracker
+	// Uneven reports whether keys are placed by the effect of targets on lateness, see
+	// keyrange.Allocation. If nil, they are not. It must not block.
+	Uneven func() bool
 }
 
 // Rows of this package in the store. The lease and the maps share a part, so that each change of a
@@ -178,6 +181,15 @@
 	return c.term != nil && c.term.valid(c.clock.Now())
 }
 
+// Speeds returns the speeds of targets by target ID, where 1 is average; nil if this instance does not
+// lead.
+func (c *Coordinator) Speeds() map[string]float64 {
+	if !c.Leading() {
+		return nil
+	}
+	return c.aggregator.Speeds()
+}
+
 // Leader returns the last known holder of the lease.
 func (c *Coordinator) Leader() lease.Row {
 	c.mu.Lock()
--- a/instance/adminbackend.go
+++ b/instance/adminbackend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -53,6 +54,8 @@
 		d.Events = eventsAbout(args.Request, i.log.Requests(), i.log.Events())
 	case args.Events:
 		d.Events = i.log.Events()
+	default:
+		d.Speeds = i.coordinator.Speeds()
 	}
 	return d
 }
@@ -117,8 +120,10 @@
 		DataAgeMs: b.clock.Now().Sub(b.board.CurrentAsOf()).Milliseconds(), RulesVersion: s.RulesVersion, Evacuated: s.Evacuations.List(),
 	}
 	found, missing := b.describeAll(ctx, &peerapi.DescribeArgs{})
+	speeds := map[string]float64{}
 	for _, d := range found {
 		status.Instances = append(status.Instances, admin.InstanceStatusOf(d))
+		maps.Copy(speeds, d.Speeds)
 	}
 	for _, id := range missing {
 		status.Instances = append(status.Instances, admin.InstanceStatus{ID: id, Missing: true})
@@ -131,7 +136,7 @@
 		status.RuleMistakes = append(status.RuleMistakes, mistake.String())
 	}
 	for _, service := range s.Rules.Services() {
-		status.Services = append(status.Services, b.serviceStatus(service.Name))
+		status.Services = append(status.Services, b.serviceStatus(service.Name, speeds))
 	}
 	return status
 }
@@ -146,7 +151,8 @@
 	return 0
 }
 
-func (b adminBackend) serviceStatus(name string) admin.ServiceStatus {
+// serviceStatus returns the state of a service; speeds are those of targets by ID.
+func (b adminBackend) serviceStatus(name string, speeds map[string]float64) admin.ServiceStatus {
 	s := b.board.Snapshot()
 	out := admin.ServiceStatus{Name: name}
 	keys := map[string]int{}
@@ -163,7 +169,7 @@
 			cold = max(0, s.ColdUntil(t).Sub(b.clock.Now()))
 		}
 		out.Targets = append(out.Targets, admin.TargetSummary{
-			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Keys: keys[t.ID], Draining: t.Draining, ColdMs: cold.Milliseconds(),
+			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Keys: keys[t.ID], Draining: t.Draining, ColdMs: cold.Milliseconds(), Speed: speeds[t.ID],
 		})
 	}
 	return out
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -219,4 +219,7 @@
 	// Known is the age of the rules and registry data that the instance uses.
 	Known  time.Duration
 	Events []timeline.Event
+	// Speeds are the speeds of targets by target ID, where 1 is average, if the instance leads. Other
+	// instances, and older builds, send none.
+	Speeds map[string]float64
 }
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -100,6 +100,9 @@
 	Draining   bool   `json:"draining,omitempty"`
 	// ColdMs is how much longer the target is limited to its service's cold rate, in milliseconds.
 	ColdMs int64 `json:"cold_ms,omitempty"`
+	// Speed is the target's speed according to the leader, where 1 is average; 0 if it has no
+	// reports about the target.
+	Speed float64 `json:"speed,omitempty"`
 }
 
 // ApplyRequest asks to replace the rules.
