--- a/instance/instance.go
+++ b/instance/instance.go
@@ -92,6 +92,8 @@
 	budget     *front.RetryBudget
 	contention contention.Switch
 	memory     *membudget.Budget
+	// memoryAuto says that the memory budget is in effect only where contention is.
+	memoryAuto atomic.Bool
 	reload     reloader
 	cancelRun  context.CancelFunc
 	background sync.WaitGroup
@@ -108,7 +110,7 @@
 		return nil, fmt.Errorf("instance: %w", err)
 	}
 	security := peers.Security{Secret: s.Secret, TLS: tlsConfig}
-	i.memory = membudget.New(i.clock, memoryLimits(s.Memory))
+	i.memory = membudget.New(i.clock, memoryLimits(s.Memory), i.memoryInEffect)
 	peerListener, err := i.listen()
 	if err != nil {
 		return nil, err
@@ -152,6 +154,12 @@
 	return membudget.Limits{Held: m.HeldBytes(), Connection: m.ConnectionBytes()}
 }
 
+// memoryInEffect reports whether the mode of the memory budget and the rules in force let it limit
+// anything.
+func (i *Instance) memoryInEffect() bool {
+	return !i.memoryAuto.Load() || i.contention.Deployment(i.board.Snapshot().Rules)
+}
+
 // newStartID returns a random suffix that distinguishes starts of the same instance.
 func newStartID() string {
 	b := make([]byte, 4)
@@ -162,6 +170,7 @@
 
 func (i *Instance) build() {
 	i.contention.Set(i.settings.Contention.Mode)
+	i.memoryAuto.Store(i.settings.Memory.Mode == contention.ModeAuto)
 	i.board = view.NewBoard(i.clock)
 	i.pool = upstream.NewPool()
 	collector := demand.NewCollector()
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -16,10 +16,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lycheehall.example/lycheehall/coordination/contention"
 	"lycheehall.example/lycheehall/examples"
 	"lycheehall.example/lycheehall/instance"
 	"lycheehall.example/lycheehall/platform"
 	"lycheehall.example/lycheehall/settings"
+	"lycheehall.example/lycheehall/state/rulestore"
 	"lycheehall.example/lycheehall/state/store"
 	"lycheehall.example/lycheehall/transport/admin"
 )
@@ -218,4 +220,46 @@
 		d.instance.ReloadSettings()
 		Eventually(post, "5s", "50ms").Should(Equal(413))
 	})
+
+	// Guards against a memory limit in a deployment whose rules do not ask for it, also for what a
+	// change of the rules or a reload of the settings should have switched.
+	It("limits the memory in mode auto only while the rules let kinds compete", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "s.toml")
+		s := settings.Default()
+		s.Memory.Mode, s.Memory.LimitMB, s.Contention.Mode = contention.ModeAuto, 0.1, contention.ModeAuto
+		d := startLocalWith(GinkgoTB(), file, s, 0)
+		store := platform.NewWithStoredRules(serveLocal(GinkgoTB(), d.store.Handler())).Store
+		version := uint64(1)
+		apply := func(text string) {
+			var err error
+			version, err = rulestore.Apply(context.Background(), store, version, rulestore.Record{Text: text})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		post := func() int {
+			resp, err := http.Post("http://"+d.callers+"/bookings/h-1", "text/plain", strings.NewReader(strings.Repeat("x", 64<<10)))
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+		Consistently(post, "300ms", "50ms").Should(Equal(200))
+		apply(examples.Rules + `
+[[rule]]
+name = "urgent"
+when = { path = "/urgent/{household}" }
+then = { route = "bookings", key = "path:household", priority = 0, aim = "500ms" }
+[[rule]]
+name = "patient"
+when = { path = "/patient/{household}" }
+then = { route = "bookings", key = "path:household", priority = 1, aim = "2s" }
+`)
+		Eventually(post, "5s", "50ms").Should(Equal(413))
+		apply(examples.Rules)
+		Eventually(post, "5s", "50ms").Should(Equal(200))
+		Expect(os.WriteFile(file, []byte("[memory]\nlimit_mb = 0.1\n"), 0o600)).To(Succeed())
+		d.instance.ReloadSettings()
+		Eventually(post, "5s", "50ms").Should(Equal(413))
+		Expect(os.WriteFile(file, []byte("[memory]\nmode = \"auto\"\nlimit_mb = 0.1\n"), 0o600)).To(Succeed())
+		d.instance.ReloadSettings()
+		Eventually(post, "5s", "50ms").Should(Equal(200))
+	})
 })
--- a/instance/reload.go
+++ b/instance/reload.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lycheehall.example/lycheehall/coordination/contention"
 	"lycheehall.example/lycheehall/settings"
 	"lycheehall.example/lycheehall/transport/front"
 )
@@ -84,6 +85,7 @@
 	i.budget.Configure(front.RetryBudgetConfig{Ratio: next.Retries.Ratio, Slack: next.Retries.Slack, Window: time.Duration(next.Retries.Window)})
 	i.grace.Store(int64(next.Grace))
 	i.contention.Set(next.Contention.Mode)
+	i.memoryAuto.Store(next.Memory.Mode == contention.ModeAuto)
 	i.memory.Configure(memoryLimits(next.Memory))
 	i.log.Event("reload", "changed", true, "needs_restart", needsRestart)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,6 +91,8 @@
 
 // Memory limits the memory held for callers and targets.
 type Memory struct {
+	// Mode says where the limit is in effect. ModeOff is not valid here.
+	Mode contention.Mode `toml:"mode" comment:"\"on\", or \"auto\" (only where the decisions of [contention] are in effect in some service)."`
 	// LimitMB is the memory of the instance in MiB; 0 turns the budget off.
 	LimitMB float64 `toml:"limit_mb" comment:"Memory of this instance in MiB; 0: bodies are not limited."`
 	// HeldShare is the share of LimitMB for request and response bodies.
@@ -132,7 +134,7 @@
 		Rules:      RulesFromStore,
 		Retries:    Retries{Ratio: 0.2, Slack: 60, Window: Duration(10 * time.Second)},
 		Contention: Contention{Mode: contention.ModeOff},
-		Memory:     Memory{HeldShare: 0.25, ConnectionShare: 0.25},
+		Memory:     Memory{Mode: contention.ModeOn, HeldShare: 0.25, ConnectionShare: 0.25},
 	}
 }
 
@@ -240,6 +242,9 @@
 	if depth := s.Connections.PipelineDepth; depth < 0 || depth > maxPipelineDepth {
 		invalid("connections.pipeline_depth", "is %d; write a number from 0 to %d", depth, maxPipelineDepth)
 	}
+	if mode := s.Memory.Mode; mode != contention.ModeAuto && mode != contention.ModeOn {
+		invalid("memory.mode", "is %q; write %q or %q", mode, contention.ModeAuto, contention.ModeOn)
+	}
 	if !(s.Memory.LimitMB >= 0 && s.Memory.LimitMB <= maxMemoryMB) {
 		invalid("memory.limit_mb", "is %v; write 0, or the memory in MiB up to %d", s.Memory.LimitMB, maxMemoryMB)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -57,6 +57,7 @@
 		Entry("contention", "[contention]\nmode = \"maybe\"", `contention.mode: is "maybe"; write "off", "auto" or "on"`),
 		Entry("pipeline depth below 0", "[connections]\npipeline_depth = -1", "connections.pipeline_depth: is -1; write a number from 0 to 64"),
 		Entry("pipeline depth above 64", "[connections]\npipeline_depth = 65", "connections.pipeline_depth: is 65; write a number from 0 to 64"),
+		Entry("memory mode", "[memory]\nmode = \"off\"", `memory.mode: is "off"; write "auto" or "on"`),
 		Entry("memory limit", "[memory]\nlimit_mb = -1", "memory.limit_mb: is -1; write 0, or the memory in MiB"),
 		Entry("memory limit in bytes", "[memory]\nlimit_mb = 193986560", "memory.limit_mb: is 1.9398656e+08"),
 		Entry("no share of the memory", "[memory]\nheld_share = 0", "memory.held_share: is 0; write a share above 0"),
@@ -69,9 +70,9 @@
 	It("accept the memory of the deploy template", func() {
 		text, err := os.ReadFile("../deploy/settings.toml.tmpl")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(text)).To(ContainSubstring("[memory]\nlimit_mb = {{limits.memory-mb}}\n"))
+		Expect(string(text)).To(ContainSubstring("[memory]\nmode = \"auto\"\nlimit_mb = {{limits.memory-mb}}\n"))
 		path := filepath.Join(GinkgoT().TempDir(), "s.toml")
-		Expect(os.WriteFile(path, []byte("[memory]\nlimit_mb = 184\n"), 0o600)).To(Succeed())
+		Expect(os.WriteFile(path, []byte("[memory]\nmode = \"auto\"\nlimit_mb = 184\n"), 0o600)).To(Succeed())
 		s, err := settings.Load(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Memory.HeldBytes()).To(Equal(int64(46 << 20)))
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -138,10 +138,11 @@
 	if c.id == "" {
 		c.id = h.idPrefix + "-" + strconv.FormatUint(h.lastID.Add(1), 36)
 	}
+	c.memory.enabled = h.config.Memory.Enabled()
 	defer c.releaseMemory()
 	res := c.serve()
 	c.logRequest(res)
-	if h.config.Memory.Enabled() {
+	if c.memory.enabled {
 		c.writeInPieces(res)
 		return
 	}
--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -34,7 +34,9 @@
 
 // reservedMemory is the memory reserved for a call.
 type reservedMemory struct {
-	// reservation is nil while the budget is off.
+	// enabled says that the budget was on when the request arrived.
+	enabled bool
+	// reservation is nil if the budget was off.
 	reservation *membudget.Reservation
 	// response is the expected size of the response, in bytes.
 	response int64
@@ -43,7 +45,7 @@
 // reserveMemory reserves memory for the body and the response of the request. It returns false with
 // a result if there is none.
 func (c *call) reserveMemory() (result, bool) {
-	if !c.h.config.Memory.Enabled() {
+	if !c.memory.enabled {
 		return result{}, true
 	}
 	c.expectResponse()
--- a/transport/front/memory_test.go
+++ b/transport/front/memory_test.go
@@ -27,7 +27,7 @@
 func newMemoryFixture(limit int64, stall time.Duration, large []byte) (*fixture, *membudget.Budget) {
 	GinkgoHelper()
 	f := newFixture()
-	b := membudget.New(clock.System{}, membudget.Limits{Held: limit, Connection: limit / 4})
+	b := membudget.New(clock.System{}, membudget.Limits{Held: limit, Connection: limit / 4}, nil)
 	f.h.config.Memory, f.h.config.StallTimeout = b, stall
 	f.h.upstream = upstreamFunc(func(r *upstream.Request) (*upstream.Response, error) {
 		body := []byte("small")
@@ -198,7 +198,7 @@
 	// memory for the next one.
 	DescribeTable("asks again before a retry that is not covered", func(attempt func(context.Context) (*upstream.Response, error), status int, body string) {
 		f := newFixture()
-		b := membudget.New(clock.System{}, membudget.Limits{Held: 8 << 20, Connection: 8 << 20})
+		b := membudget.New(clock.System{}, membudget.Limits{Held: 8 << 20, Connection: 8 << 20}, nil)
 		f.h.config.Memory = b
 		attempts := 0
 		f.h.upstream = upstreamFunc(func(*upstream.Request) (*upstream.Response, error) {
@@ -224,6 +224,27 @@
 		Expect(b.Held()).To(BeZero())
 	})
 
+	// Guards against requests that are refused or written in pieces where the rules do not ask for the
+	// limit, and against a request that is treated differently at its start and at its end.
+	It("does nothing for a request that arrived while it was not in effect", func() {
+		var inEffect atomic.Bool
+		f := newFixture()
+		b := membudget.New(clock.System{}, membudget.Limits{Held: 100, Connection: 100}, inEffect.Load)
+		f.h.config.Memory = b
+		f.h.upstream = upstreamFunc(func(*upstream.Request) (*upstream.Response, error) {
+			inEffect.Store(true)
+			return &upstream.Response{Status: 200, Header: http.Header{"Signed": {"yes"}}, Body: large}, nil
+		})
+		w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+		f.h.ServeHTTP(w, httptest.NewRequest("GET", "/p", nil))
+		Expect(w.Body.Len()).To(Equal(len(large)))
+		Expect(w.deadlines).To(BeZero())
+		Expect(b.Held()).To(BeZero())
+		w = &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+		f.h.ServeHTTP(w, httptest.NewRequest("GET", "/p", nil))
+		Expect(w.deadlines).NotTo(BeZero())
+	})
+
 	It("holds a response until a writer that buffers it has written it", func() {
 		f, b := newMemoryFixture(8<<20, 0, large)
 		w := &holdingWriter{ResponseRecorder: httptest.NewRecorder()}
@@ -234,6 +255,17 @@
 	})
 })
 
+// deadlineWriter counts the write deadlines that are set.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadlines int
+}
+
+func (w *deadlineWriter) SetWriteDeadline(time.Time) error {
+	w.deadlines++
+	return nil
+}
+
 type holdingWriter struct {
 	*httptest.ResponseRecorder
 	release func()
--- a/transport/membudget/budget.go
+++ b/transport/membudget/budget.go
@@ -27,8 +27,9 @@
 
 // Budget counts the memory reserved by requests. It is safe for concurrent use. A nil Budget is off.
 type Budget struct {
-	clock   clock.Clock
-	enabled atomic.Bool
+	clock    clock.Clock
+	limited  atomic.Bool
+	inEffect func() bool
 
 	mu           sync.Mutex
 	limits       Limits
@@ -40,9 +41,11 @@
 	updatedAt clock.Instant
 }
 
-// New returns a budget of which nothing is reserved.
-func New(c clock.Clock, limits Limits) *Budget {
-	b := &Budget{clock: c, byConnection: map[string]int64{}, updatedAt: c.Now()}
+// New returns a budget of which nothing is reserved. While inEffect returns false, the budget is off
+// whatever its limits; nil means always in effect. It is called for each
+// request and connection, by any goroutine, and must be cheap.
+func New(c clock.Clock, limits Limits, inEffect func() bool) *Budget {
+	b := &Budget{clock: c, inEffect: inEffect, byConnection: map[string]int64{}, updatedAt: c.Now()}
 	b.Configure(limits)
 	return b
 }
@@ -52,11 +55,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limits = limits
-	b.enabled.Store(limits.Held > 0)
+	b.limited.Store(limits.Held > 0)
 }
 
-// Enabled reports whether the budget is on.
-func (b *Budget) Enabled() bool { return b != nil && b.enabled.Load() }
+// Enabled reports whether the budget is on: it has a limit and is in effect.
+func (b *Budget) Enabled() bool {
+	return b != nil && b.limited.Load() && (b.inEffect == nil || b.inEffect())
+}
 
 // Held returns the number of bytes reserved.
 func (b *Budget) Held() int64 {
@@ -114,10 +119,12 @@
 		return Decision{Admitted: true}
 	}
 	b := r.budget
+	// inEffect may acquire a lock, which must not be done while mu is held.
+	enabled := b.Enabled()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update()
-	if b.limits.Held <= 0 {
+	if !enabled || b.limits.Held <= 0 {
 		b.resize(r, a.Known+a.Expected)
 		return Decision{Admitted: true}
 	}
--- a/transport/membudget/membudget_test.go
+++ b/transport/membudget/membudget_test.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,7 +45,7 @@
 
 var _ = Describe("a budget", func() {
 	It("never refuses a correction, and counts it against further requests", func() {
-		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000})
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, nil)
 		r, d := b.Reserve("a", Ask{Expected: 10})
 		Expect(d.Admitted).To(BeTrue())
 		r.Resize(5000)
@@ -59,7 +62,7 @@
 	// Guards against refusals of running requests, and against lost counts, when a reload of the
 	// settings turns the budget off and on.
 	It("admits everything while it is off", func() {
-		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000})
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, nil)
 		r, _ := b.Reserve("a", Ask{Known: 100})
 		b.Configure(Limits{})
 		Expect(r.Grow(Ask{Known: 5000}).Admitted).To(BeTrue())
@@ -71,8 +74,74 @@
 		Expect(b.Held()).To(BeZero())
 		Expect((*Budget)(nil).Enabled()).To(BeFalse())
 	})
+
+	// Guards against refusals where the rules do not ask for the limit, and against lost counts when
+	// they change during a request.
+	It("reserves and refuses nothing while it is not in effect", func() {
+		inEffect := false
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, func() bool { return inEffect })
+		Expect(b.Enabled()).To(BeFalse())
+		none, d := b.Reserve("a", Ask{Known: 5000})
+		Expect(d.Admitted).To(BeTrue())
+		Expect(none).To(BeNil())
+		inEffect = true
+		Expect(b.Enabled()).To(BeTrue())
+		r, _ := b.Reserve("a", Ask{Known: 900})
+		_, d = b.Reserve("a", Ask{Known: 900})
+		Expect(d.Admitted).To(BeFalse())
+		inEffect = false
+		Expect(r.Grow(Ask{Known: 5000}).Admitted).To(BeTrue())
+		r.Release()
+		Expect(b.Held()).To(BeZero())
+		b.Configure(Limits{})
+		inEffect = true
+		Expect(b.Enabled()).To(BeFalse())
+	})
 })
 
+var _ = Describe("a listener", func() {
+	// Guards against slower connections where the budget is not in effect, and against a connection
+	// whose buffer changes during its life.
+	It("limits the send buffers of the connections accepted while the budget is on", func() {
+		var inEffect atomic.Bool
+		plain, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(plain.Close)
+		l := NewListener(plain, New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, inEffect.Load))
+		accept := func(l net.Listener) net.Conn {
+			caller, err := net.Dial("tcp", plain.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(caller.Close)
+			conn, err := l.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			return conn
+		}
+		usual := sendBuffer(accept(plain))
+		before := accept(l)
+		Expect(sendBuffer(before)).To(Equal(usual))
+		inEffect.Store(true)
+		// The kernel doubles the size.
+		Expect(sendBuffer(accept(l))).To(Equal(2 * writeBufferBytes))
+		Expect(usual).NotTo(Equal(2 * writeBufferBytes))
+		Expect(sendBuffer(before)).To(Equal(usual))
+		inEffect.Store(false)
+		Expect(sendBuffer(accept(l))).To(Equal(usual))
+	})
+})
+
+func sendBuffer(conn net.Conn) (size int) {
+	GinkgoHelper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	Expect(err).NotTo(HaveOccurred())
+	var optionErr error
+	Expect(raw.Control(func(fd uintptr) {
+		size, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF)
+	})).To(Succeed())
+	Expect(optionErr).NotTo(HaveOccurred())
+	return size
+}
+
 // loadKind is a kind of request of the seeded load.
 type loadKind struct {
 	perSecond       float64
@@ -98,7 +167,7 @@
 // of the limit that was held.
 func simulateLoad(seed uint64, limit int64, kinds ...loadKind) (results []loadResult, highest float64) {
 	c := &manualClock{}
-	b := New(c, Limits{Held: limit, Connection: limit / 4})
+	b := New(c, Limits{Held: limit, Connection: limit / 4}, nil)
 	random := rand.New(rand.NewPCG(seed, 0))
 	var events []loadEvent
 	after := func(d time.Duration, run func()) {
