Hold memory until pipelined responses are written, with a deadline

Cause: a response that its handler had left in the pipeline's buffer was not counted any more while it waited for its turn, and was then written without a deadline. A caller that read nothing held the connection and up to eight responses for good.

Change: the pipeline's ResponseWriter implements membudget.ResponseHolder. What it writes from its own buffer goes through membudget.WriteInPieces, unless the handler has set a deadline. A response that its handler writes was and is counted: the handler waits in Write with its reservation. The stall timeout is now a constant of membudget, which front and pipeline share. Requests that the pipeline parses had the caller's RemoteAddr already; a spec checks it.

Releasing at once, no stall deadline, and no RemoteAddr each make specs fail.

--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -51,7 +51,7 @@
 	// Memory limits the memory held for callers and targets. If it is nil, there is no limit.
 	Memory *membudget.Budget
 	// StallTimeout is how long a caller may take nothing of a response before it is cut off; 0 means
-	// defaultStallTimeout. It is only used while Memory is on.
+	// membudget.StallTimeout. It is only used while Memory is on.
 	StallTimeout time.Duration
 }
 
--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -18,9 +18,6 @@
 	requestOverheadBytes = 16 << 10
 	// unknownResponseBytes is reserved for the response while no response of the rule is known.
 	unknownResponseBytes = 16 << 10
-	// defaultStallTimeout is how long a caller may take nothing of a response. Callers may read
-	// slowly, but one that is gone without having closed its connection would hold memory for minutes.
-	defaultStallTimeout = 10 * time.Second
 	// memoryReason is the reason of a refusal because of the memory budget.
 	memoryReason = "memory"
 )
@@ -145,7 +142,7 @@
 	c.memory.reservation.Resize(requestOverheadBytes + int64(cap(body)))
 	stall := c.h.config.StallTimeout
 	if stall == 0 {
-		stall = defaultStallTimeout
+		stall = membudget.StallTimeout
 	}
 	start := time.Now()
 	written, err := membudget.WriteInPieces(c.w, body, stall, c.deadline)
--- a/transport/front/memory_test.go
+++ b/transport/front/memory_test.go
@@ -19,6 +19,7 @@
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/demand"
 	"lycheehall.example/lycheehall/transport/membudget"
+	"lycheehall.example/lycheehall/transport/pipeline"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
 
@@ -355,3 +356,86 @@
 		Expect(resp.Body.Close()).To(Succeed())
 	})
 })
+
+var _ = Describe("a caller that pipelines and reads slowly", func() {
+	const (
+		limit = 4 << 20
+		size  = 256 << 10
+	)
+	large := []byte(strings.Repeat("x", size))
+
+	servePipelined := func(f *fixture) string {
+		GinkgoHelper()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{}
+		p := pipeline.New(f.h, 8)
+		p.Configure(server)
+		go func() { _ = server.Serve(p.Listen(membudget.NewListener(l, f.h.config.Memory))) }()
+		DeferCleanup(server.Close)
+		return l.Addr().String()
+	}
+
+	// startEight sends eight requests at once, when the size of the responses is known.
+	startEight := func(f *fixture, address string) slowCaller {
+		GinkgoHelper()
+		first := startSlowCaller(address, "/p")
+		_, _, err := first.receive(0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.h.config.Memory.Held).Should(BeZero())
+		caller := startSlowCaller(address, "/p")
+		for range 7 {
+			caller.send("/p")
+		}
+		return caller
+	}
+
+	// Guards against responses that wait for their turn without being counted, and against one
+	// connection that takes the memory of all others.
+	It("gets what its connection's share has room for, and others are served meanwhile", func() {
+		f, b := newMemoryFixture(limit, 0, large)
+		address := servePipelined(f)
+		caller := startEight(f, address)
+		// The requests with room wait in their handlers, whose reservations stay.
+		Eventually(b.Held, "2s", "2ms").Should(BeNumerically(">", 2*size))
+		highest := int64(0)
+		for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); {
+			before := b.Held()
+			Expect(before).To(BeNumerically(">", 2*size))
+			resp, err := http.Get("http://" + address + "/k/a")
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal("small"))
+			highest = max(highest, before, b.Held())
+		}
+		// The second caller holds one small request beside the connection's share.
+		Expect(highest).To(BeNumerically("<=", limit/4+requestOverheadBytes+unknownResponseBytes))
+		whole, refused := 0, 0
+		for range 8 {
+			status, read, err := caller.receive(0, 0)
+			Expect(err).NotTo(HaveOccurred())
+			if status == http.StatusServiceUnavailable {
+				refused++
+				continue
+			}
+			Expect(read).To(BeEquivalentTo(size))
+			whole++
+		}
+		GinkgoWriter.Printf("%d whole, %d refused, highest %d of %d\n", whole, refused, highest, limit/4)
+		// Three responses of 256 KiB with 16 KiB each fit into a share of 1 MiB.
+		Expect(whole).To(Equal(3))
+		Expect(refused).To(Equal(5))
+		Eventually(b.Held).Should(BeZero())
+	})
+
+	// Guards against a connection that keeps its share for good.
+	It("is cut off once it has taken nothing for the stall timeout", func() {
+		f, b := newMemoryFixture(limit, 300*time.Millisecond, large)
+		startEight(f, servePipelined(f))
+		Eventually(b.Held, "2s", "2ms").Should(BeNumerically(">", 2*size))
+		// The deadline of the rule is 1 s.
+		Eventually(b.Held, "8s", "5ms").Should(BeZero())
+		Expect(f.lines("caller-cut-off")).To(HaveLen(1))
+	})
+})
--- a/transport/membudget/write.go
+++ b/transport/membudget/write.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// StallTimeout is how long a caller may take nothing of a response. Callers may read slowly, but
+	// one that is gone without having closed its connection would hold memory for minutes.
+	StallTimeout = 10 * time.Second
 	// pieceBytes is the size of the pieces in which a response is written. With a larger piece, a
 	// slow caller would need more than the time limit for one.
 	pieceBytes = 16 << 10
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -329,12 +329,14 @@
 	returned := false
 	defer func() {
 		if !returned {
+			x.endHold()
 			c.fail(errConnectionFailed)
 			c.endRun()
 		}
 	}()
 	c.p.handler.ServeHTTP(x, r)
 	x.finish()
+	x.endHold()
 	returned = true
 	// A panic makes the server end the connection.
 	if failure := c.endRun(); failure == errConnectionFailed {
@@ -408,6 +410,7 @@
 		defer pipelinedInFlight.Dec()
 		defer cancel()
 		defer c.recoverPanic()
+		defer x.endHold()
 		c.p.handler.ServeHTTP(x, r)
 		x.finish()
 	})
--- a/transport/pipeline/exchange.go
+++ b/transport/pipeline/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"lycheehall.example/lycheehall/transport/membudget"
 )
 
 // destination says where the response of an exchange goes.
@@ -45,8 +47,12 @@
 	// a write deadline.
 	writeTimeout time.Duration
 	hasDeadline  bool
+	// release is called when the response is not in memory any more; nil if nothing waits for that.
+	release func()
 }
 
+var _ membudget.ResponseHolder = (*exchange)(nil)
+
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header {
 	if x.header == nil {
@@ -149,6 +155,24 @@
 	}
 }
 
+// OnWritten implements membudget.ResponseHolder. A response that has begun is not kept: its handler
+// waits until it has been written.
+func (x *exchange) OnWritten(release func()) {
+	if x.dest != undecided {
+		release()
+		return
+	}
+	x.release = release
+}
+
+// endHold calls the function that OnWritten has registered.
+func (x *exchange) endHold() {
+	if x.release != nil {
+		x.release()
+		x.release = nil
+	}
+}
+
 // finish sends what has not been sent when the handler has returned, and ends the turn.
 func (x *exchange) finish() {
 	if x.dest == undecided && x.status == 0 {
@@ -159,9 +183,11 @@
 			x.length = int64(len(x.buf))
 			x.Header().Set("Content-Length", strconv.Itoa(len(x.buf)))
 		}
-		if _, err := x.send(x.buf); err != nil {
+		if err := x.sendBuffered(); err != nil {
 			return
 		}
+		// The request started by next may need this memory.
+		x.endHold()
 	}
 	if x.dest == toConn {
 		if bodyAllowed(x.status) && x.written != x.length {
@@ -176,6 +202,26 @@
 	x.c.next()
 }
 
+// sendBuffered sends a response that the handler has not begun to send. A caller that takes nothing of
+// it for the stall time is cut off, unless the handler has set a write deadline of its own.
+func (x *exchange) sendBuffered() error {
+	if x.writeTimeout > 0 {
+		_, err := x.send(x.buf)
+		return err
+	}
+	if len(x.buf) == 0 {
+		// WriteInPieces writes no piece of an empty body, and the head is sent with the first piece.
+		if err := x.SetWriteDeadline(time.Now().Add(x.c.p.stall)); err != nil {
+			return err
+		}
+		if _, err := x.send(nil); err != nil {
+			return err
+		}
+	}
+	_, err := membudget.WriteInPieces(x, x.buf, x.c.p.stall, time.Time{})
+	return err
+}
+
 // send writes a part of the body, and the head before the first part. It waits for the turn of the
 // response.
 func (x *exchange) send(b []byte) (int, error) {
--- a/transport/pipeline/pipeline.go
+++ b/transport/pipeline/pipeline.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"lycheehall.example/lycheehall/transport/membudget"
 )
 
 // Handler serves the requests.
@@ -29,13 +32,15 @@
 	handler Handler
 	depth   int
 	// maxHead is the longest head in bytes that is started; the server decides about longer ones.
-	maxHead  int
+	maxHead int
+	// stall is how long a caller may take nothing of a response that the handler did not write itself.
+	stall    time.Duration
 	stopping atomic.Bool
 }
 
 // New returns a handler that serves up to depth requests of a connection at a time.
 func New(handler Handler, depth int) *Pipeline {
-	return &Pipeline{handler: handler, depth: depth, maxHead: http.DefaultMaxHeaderBytes}
+	return &Pipeline{handler: handler, depth: depth, maxHead: http.DefaultMaxHeaderBytes, stall: membudget.StallTimeout}
 }
 
 // connKey is the key of a connection in the contexts of its requests.
--- a/transport/pipeline/pipeline_test.go
+++ b/transport/pipeline/pipeline_test.go
@@ -11,11 +11,14 @@
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"lycheehall.example/lycheehall/transport/membudget"
 )
 
 func TestPipeline(t *testing.T) {
@@ -438,3 +441,104 @@
 		Entry("large head", "GET /a HTTP/1.1\r\nHost: x\r\nA: "+strings.Repeat("x", 20<<10)+"\r\n\r\n"),
 	)
 })
+
+// holdHandler calls hold before it serves a request, and records the address of the request's caller.
+type holdHandler struct {
+	*scriptedHandler
+	hold func(r *http.Request, holder membudget.ResponseHolder)
+}
+
+func (h holdHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	holder, _ := w.(membudget.ResponseHolder)
+	defer h.hold(r, holder)
+	h.scriptedHandler.ServeHTTP(w, r)
+}
+
+var _ = Describe("a response that its handler leaves in the buffer", func() {
+	// released counts the calls of functions given to OnWritten, by path.
+	var mu sync.Mutex
+	var released map[string]int
+	var addresses []string
+	count := func(path string) func() int {
+		return func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return released[path]
+		}
+	}
+	start := func() *fixture {
+		GinkgoHelper()
+		released, addresses = map[string]int{}, nil
+		f := &fixture{scriptedHandler: newScriptedHandler()}
+		f.noLength = true
+		server, address, accepted := serve(holdHandler{f.scriptedHandler, func(r *http.Request, holder membudget.ResponseHolder) {
+			mu.Lock()
+			addresses = append(addresses, r.RemoteAddr)
+			mu.Unlock()
+			holder.OnWritten(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				released[r.URL.Path]++
+			})
+		}}, 8)
+		DeferCleanup(server.Close)
+		raw, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { raw.Close() })
+		Expect(raw.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		f.server, f.conn, f.reader, f.wrapped = server, raw.(*net.TCPConn), bufio.NewReader(raw), accepted
+		(<-accepted).p.stall = 200 * time.Millisecond
+		return f
+	}
+
+	// Guards against memory that is free by the count while the response is still in it, and against a
+	// connection's share that requests behind the first one escape by another address.
+	It("is held until it has been written", func() {
+		f := start()
+		f.send(get("/hold/a"), get("/b"), get("/c?do=empty"))
+		f.expectStarted("/hold/a", "/b", "/c")
+		Consistently(count("/b"), "50ms", "5ms").Should(BeZero())
+		Expect(count("/c")()).To(BeZero())
+		f.release("a")
+		f.expect(200, "/hold/a")
+		f.expect(200, "/b")
+		f.expect(204, "")
+		for _, path := range []string{"/hold/a", "/b", "/c"} {
+			Eventually(count(path), "1s", "2ms").Should(Equal(1))
+		}
+		Expect(addresses).To(HaveEach(f.conn.LocalAddr().String()))
+	})
+
+	// Guards against reservations that stay for good.
+	DescribeTable("is released when the connection ends", func(end func(*fixture)) {
+		f := start()
+		f.send(get("/hold/a"), get("/b"))
+		f.expectStarted("/hold/a", "/b")
+		Consistently(count("/b"), "50ms", "5ms").Should(BeZero())
+		end(f)
+		Eventually(count("/b"), "1s", "2ms").Should(Equal(1))
+		Eventually(count("/hold/a"), "1s", "2ms").Should(Equal(1))
+	},
+		Entry("by the caller", func(f *fixture) { f.conn.Close() }),
+		Entry("by a panic behind it", func(f *fixture) { f.send(get("/z?do=panic")) }),
+		Entry("by the server", func(f *fixture) { f.server.Close() }),
+	)
+
+	// Guards against a caller that holds the connection and its memory for good by reading nothing.
+	DescribeTable("is given up when the caller takes nothing for the stall time", func(texts ...string) {
+		f := start()
+		f.send(texts...)
+		Eventually(f.starts, "5s", "2ms").Should(HaveLen(len(texts)))
+		f.release("a")
+		begun := time.Now()
+		Eventually(count("/b"), "5s", "5ms").Should(Equal(1))
+		Expect(time.Since(begun)).To(BeNumerically(">", 150*time.Millisecond))
+		_, err := io.Copy(io.Discard, f.conn)
+		if err != nil {
+			Expect(err).To(MatchError(syscall.ECONNRESET))
+		}
+	},
+		Entry("as the last one", get("/hold/a"), get("/b?do=large")),
+		Entry("in front of others", get("/hold/a"), get("/b?do=large"), get("/hold/a")),
+	)
+})
