Record no promise for requests that are too large for the memory

Cause: a body above the whole budget was refused with 413 and recorded as due to come back at once, so that for 250 ms new requests had to leave more room, and no further promise was made. A returning request that grew was deducted from the promises with its whole size each time.

Change: no promise after Decision.TooLarge; growth deducts what it adds. promises.keep is named deduct.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -145,6 +145,7 @@
 		}
 		open = append(open, l)
 	}
+	// The wrapper of package pipeline goes around this one, which needs the TCP connections.
 	open[0] = membudget.NewListener(open[0], i.memory)
 	i.listeners = [3]net.Listener(open[:3])
 	return open[3], nil
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -124,9 +124,7 @@
 	if c.snapshot.Rules == nil {
 		return notExecutedResult("no-rules", startupRetryAfter), false
 	}
-	c.decision = c.snapshot.Rules.Decide(&rules.Request{
-		Method: c.r.Method, Host: c.r.Host, URL: c.r.URL, Header: c.r.Header, DataCentre: c.h.config.DataCentre,
-	})
+	c.decision = c.h.decide(c.snapshot.Rules, c.r)
 	if c.decision.Rule == nil {
 		return result{refusal: refusal{http.StatusNotFound, "no-rule", 0}}, false
 	}
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -160,10 +160,15 @@
 	if set == nil {
 		return false
 	}
-	decision := set.Decide(&rules.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, DataCentre: h.config.DataCentre})
+	decision := h.decide(set, r)
 	return decision.Rule != nil && decision.Rule.Then.Idempotent
 }
 
+// decide evaluates the rules for a request of a caller.
+func (h *Handler) decide(set *rules.Set, r *http.Request) rules.Decision {
+	return set.Decide(&rules.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, DataCentre: h.config.DataCentre})
+}
+
 // result is what the caller gets: the response of a target or, if that is nil, the refusal.
 type result struct {
 	response *upstream.Response
--- a/transport/membudget/budget.go
+++ b/transport/membudget/budget.go
@@ -140,10 +140,11 @@
 	}, a)
 	switch {
 	case d.Admitted:
-		b.resize(r, size)
 		if a.Returning {
-			b.promised.keep(size)
+			b.promised.deduct(size - r.size)
 		}
+		b.resize(r, size)
+	case d.TooLarge:
 	case d.RetryAfter < maxRetryAfter && promised+due < b.limits.Held:
 		// Callers that come back earlier than told would otherwise postpone all others without limit.
 		b.promised.add(d.RetryAfter, size)
--- a/transport/membudget/membudget_test.go
+++ b/transport/membudget/membudget_test.go
@@ -75,6 +75,25 @@
 		Expect((*Budget)(nil).Enabled()).To(BeFalse())
 	})
 
+	// Guards against callers with bodies that can never be admitted who keep out others.
+	It("leaves no room for a request that is too large", func() {
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, nil)
+		_, d := b.Reserve("a", Ask{Known: 5000})
+		Expect(d).To(Equal(Decision{TooLarge: true}))
+		promised, due := b.promised.sums()
+		Expect(promised + due).To(BeZero())
+	})
+
+	// Guards against a returning request that grows and takes the room left for other callers.
+	It("deducts a returning request that grows from the promises once", func() {
+		b := New(&manualClock{}, Limits{Held: 1000, Connection: 1000}, nil)
+		b.promised.add(0, 300)
+		r, _ := b.Reserve("a", Ask{Known: 50, Returning: true})
+		Expect(r.Grow(Ask{Known: 100, Returning: true}).Admitted).To(BeTrue())
+		_, due := b.promised.sums()
+		Expect(due).To(BeEquivalentTo(200))
+	})
+
 	// Guards against refusals where the rules do not ask for the limit, and against lost counts when
 	// they change during a request.
 	It("reserves and refuses nothing while it is not in effect", func() {
--- a/transport/membudget/promises.go
+++ b/transport/membudget/promises.go
@@ -41,8 +41,8 @@
 // add records a request that was told to come back.
 func (p *promises) add(after time.Duration, size int64) { *p.at(int(after / promiseStep)) += size }
 
-// keep deducts an admitted request from those that are due.
-func (p *promises) keep(size int64) {
+// deduct removes the size of an admitted request from those that are due.
+func (p *promises) deduct(size int64) {
 	for n := -dueSteps + 1; n <= 0; n++ {
 		part := min(size, *p.at(n))
 		*p.at(n) -= part
