--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -52,7 +52,7 @@
 	// Memory limits the memory held for callers and targets. If it is nil, there is no limit.
 	Memory *membudget.Budget
 	// StallTimeout is how long a caller may take nothing of a response before it is cut off; 0 means
-	// defaultStallTimeout. It is only used while Memory is on.
+	// membudget.StallTimeout. It is only used while Memory is on.
 	StallTimeout time.Duration
 	// Contended reports whether the decisions for competing kinds of requests are in effect under the
 	// rules in force. If it is nil, they are not.
@@ -148,10 +148,11 @@
 	if c.id == "" {
 		c.id = h.idPrefix + "-" + strconv.FormatUint(h.lastID.Add(1), 36)
 	}
+	c.memory.enabled = h.config.Memory.Enabled()
 	defer c.releaseMemory()
 	res := c.serve()
 	c.logRequest(res)
-	if h.config.Memory.Enabled() {
+	if c.memory.enabled {
 		c.writeInPieces(res)
 		return
 	}
@@ -169,10 +170,15 @@
 	if set == nil {
 		return false
 	}
-	decision := set.Decide(&rules.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, DataCentre: h.config.DataCentre})
+	decision := h.decide(set, r)
 	return decision.Rule != nil && decision.Rule.Then.Idempotent
 }
 
+// decide evaluates the rules for a request of a caller.
+func (h *Handler) decide(set *rules.Set, r *http.Request) rules.Decision {
+	return set.Decide(&rules.Request{Method: r.Method, Host: r.Host, URL: r.URL, Header: r.Header, DataCentre: h.config.DataCentre})
+}
+
 // result is what the caller gets: the response of a target or, if that is nil, the refusal.
 type result struct {
 	response *upstream.Response
--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -18,9 +18,6 @@
 	requestOverheadBytes = 16 << 10
 	// unknownResponseBytes is reserved for the response while no response of the rule is known.
 	unknownResponseBytes = 16 << 10
-	// defaultStallTimeout is how long a caller may take nothing of a response. Callers may read
-	// slowly, but one that is gone without having closed its connection would hold memory for minutes.
-	defaultStallTimeout = 10 * time.Second
 	// memoryReason is the reason of a refusal because of the memory budget.
 	memoryReason = "memory"
 )
@@ -34,7 +31,9 @@
 
 // reservedMemory is the memory reserved for a call.
 type reservedMemory struct {
-	// reservation is nil while the budget is off.
+	// enabled says that the budget was on when the request arrived.
+	enabled bool
+	// reservation is nil if the budget was off.
 	reservation *membudget.Reservation
 	// response is the expected size of the response, in bytes.
 	response int64
@@ -43,7 +42,7 @@
 // reserveMemory reserves memory for the body and the response of the request. It returns false with
 // a result if there is none.
 func (c *call) reserveMemory() (result, bool) {
-	if !c.h.config.Memory.Enabled() {
+	if !c.memory.enabled {
 		return result{}, true
 	}
 	c.expectResponse()
@@ -143,7 +142,7 @@
 	c.memory.reservation.Resize(requestOverheadBytes + int64(cap(body)))
 	stall := c.h.config.StallTimeout
 	if stall == 0 {
-		stall = defaultStallTimeout
+		stall = membudget.StallTimeout
 	}
 	start := time.Now()
 	written, err := membudget.WriteInPieces(c.w, body, stall, c.deadline)
