Send pipelined requests of a spec together

It wrote its requests one by one: when the response to the first one begins before the others have arrived, they are not started beside it, which is how the run of a connection ends and is allowed. The requests are now written in one piece, so that they are there when the first one is served; what the spec expects is unchanged.

--- a/transport/front/memory_test.go
+++ b/transport/front/memory_test.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,7 +68,7 @@
 	reader *bufio.Reader
 }
 
-func startSlowCaller(address, path string) slowCaller {
+func startSlowCaller(address string, paths ...string) slowCaller {
 	GinkgoHelper()
 	dialer := net.Dialer{Timeout: 5 * time.Second}
 	conn, err := dialer.Dial("tcp", address)
@@ -76,13 +76,18 @@
 	DeferCleanup(conn.Close)
 	Expect(conn.(*net.TCPConn).SetReadBuffer(receiveBufferBytes)).To(Succeed())
 	s := slowCaller{conn, bufio.NewReaderSize(conn, 4<<10)}
-	s.send(path)
+	s.send(paths...)
 	return s
 }
 
-func (s slowCaller) send(path string) {
+// send sends requests in a single write, so that the server receives them together.
+func (s slowCaller) send(paths ...string) {
 	GinkgoHelper()
-	_, err := fmt.Fprintf(s, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+	text := ""
+	for _, path := range paths {
+		text += "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+	}
+	_, err := io.WriteString(s, text)
 	Expect(err).NotTo(HaveOccurred())
 }
 
@@ -376,18 +381,15 @@
 		return l.Addr().String()
 	}
 
-	// startEight sends eight requests at once, when the size of the responses is known.
+	// startEight sends eight requests at once, when the size of the responses is known. Requests that
+	// arrive after the response to the first one has begun are not started beside it.
 	startEight := func(f *fixture, address string) slowCaller {
 		GinkgoHelper()
 		first := startSlowCaller(address, "/p")
 		_, _, err := first.receive(0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(f.h.config.Memory.Held).Should(BeZero())
-		caller := startSlowCaller(address, "/p")
-		for range 7 {
-			caller.send("/p")
-		}
-		return caller
+		return startSlowCaller(address, slices.Repeat([]string{"/p"}, 8)...)
 	}
 
 	// Guards against responses that wait for their turn without being counted, and against one
