End a connection whose buffered response could not be finished

Cause: if setting the write deadline failed after a piece of a buffered response had been written, as on a connection closed between the two calls, finish returned without ending the turn of the response and without failing the connection. The handlers behind it waited for their turn, and the server's goroutine for them, without limit.

Change: finish fails the connection if the response had begun on it. A spec uses a connection on which no write deadline can be set.

--- a/transport/pipeline/exchange.go
+++ b/transport/pipeline/exchange.go
@@ -184,6 +184,11 @@
 			x.Header().Set("Content-Length", strconv.Itoa(len(x.buf)))
 		}
 		if err := x.sendBuffered(); err != nil {
+			if x.dest == toConn {
+				// A failure to set a deadline is not known to the connection yet. The responses behind
+				// this one would wait for their turn forever.
+				x.c.fail(errConnectionFailed)
+			}
 			return
 		}
 		// The request started by next may need this memory.
--- a/transport/pipeline/pipeline_test.go
+++ b/transport/pipeline/pipeline_test.go
@@ -542,3 +542,45 @@
 		Entry("in front of others", get("/hold/a"), get("/b?do=large"), get("/hold/a")),
 	)
 })
+
+// noDeadlineListener accepts connections on which a write deadline cannot be set, like one that is closed
+// between two writes.
+type noDeadlineListener struct{ net.Listener }
+
+func (l noDeadlineListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return noDeadlineConn{c}, err
+}
+
+type noDeadlineConn struct{ net.Conn }
+
+func (noDeadlineConn) SetWriteDeadline(time.Time) error { return net.ErrClosed }
+
+// Guards against handlers behind a response that could not be finished, which wait for their turn forever.
+var _ = Describe("a response whose write deadline cannot be set", func() {
+	It("ends the connection and the requests behind it", func() {
+		f := &fixture{scriptedHandler: newScriptedHandler()}
+		f.noLength = true
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		p, server := New(f.scriptedHandler, 8), &http.Server{}
+		p.Configure(server)
+		DeferCleanup(server.Close)
+		go server.Serve(p.Listen(noDeadlineListener{l}))
+		raw, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { raw.Close() })
+		Expect(raw.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		f.conn = raw.(*net.TCPConn)
+		before := pipelinedInFlight.Get()
+		f.send(get("/hold/a"), get("/b"))
+		f.expectStarted("/hold/a", "/b")
+		f.release("a")
+		_, err = io.Copy(io.Discard, f.conn)
+		if err != nil {
+			Expect(err).To(MatchError(syscall.ECONNRESET))
+		}
+		Eventually(pipelinedInFlight.Get, "5s", "5ms").Should(Equal(before))
+	})
+})
