Correct comments and names of pipelining, memory, admission and quota

Cause: a first reading of the change met doc comments that the code does not keep (Ask.Contended names the service, the switch holds for the deployment; admitContended leaves out reserved capacity; limitState describes a field that does not exist; the formula of Allocation leaves out the least share), one sort that stood twice, two names for placing by lateness, and fields and constants without a reason or unit.

Change: the comments say what the code does. The two sorts of a pool's queue are one function, sortQueue, by the same order as before. SetUneven and Config.Uneven are SetByLateness and Config.PlaceByLateness.

--- a/coordination/assign/capacity.go
+++ b/coordination/assign/capacity.go
@@ -95,9 +95,9 @@
 	m.utilisation = max(current, decayed)
 }
 
-// SetUneven sets whether keys are placed by the effect of targets on lateness, see
+// SetByLateness sets whether keys are placed by the effect of targets on lateness, see
 // keyrange.Allocation. Otherwise all targets get the same utilisation.
-func (m *Manager) SetUneven(active bool) {
+func (m *Manager) SetByLateness(active bool) {
 	m.byLateness = active
 	if !active {
 		m.utilisation = 0
--- a/coordination/assign/manager.go
+++ b/coordination/assign/manager.go
@@ -32,7 +32,7 @@
 	// average target.
 	requestWork float64
 	// byLateness says that keys are placed by the effect of targets on lateness, which depends on
-	// utilisation, that of all targets together; see SetUneven and updateUtilisation.
+	// utilisation, that of all targets together; see SetByLateness and updateUtilisation.
 	byLateness  bool
 	utilisation float64
 	balancing   Balancing
--- a/coordination/assign/uneven_test.go
+++ b/coordination/assign/uneven_test.go
@@ -30,7 +30,7 @@
 	}
 	newManager := func(uneven bool) *Manager {
 		m := NewManager(config, nil, start)
-		m.SetUneven(uneven)
+		m.SetByLateness(uneven)
 		return m
 	}
 
--- a/coordination/keyrange/allocation.go
+++ b/coordination/keyrange/allocation.go
@@ -18,6 +18,9 @@
 	minAllocatedShare = 1.0 / 3
 	// minAllocationUtilisation replaces lower utilisations of the whole.
 	minAllocationUtilisation = 0.25
+	// maxSpeedRatio bounds how much slower than average a target is taken to be, and the search for x.
+	// Measured speeds are at most 10, for which an x of 6 already gives every target the least work.
+	maxSpeedRatio = 100
 )
 
 // Allocation returns the work that each of the targets should have relative to the others, in slots of
@@ -28,8 +31,8 @@
 // With the same utilisation, a request is late more often at a slow target with few slots than at a
 // fast one: both its own duration and its wait are longer. So the slow targets get less than the same
 // utilisation while there is spare capacity. The utilisation of a target of speed s is
-// 1 - x*s^(e-1), where e is spareExponent and x is such that all targets together have the given
-// utilisation.
+// 1 - x*s^(e-1), but at least minAllocatedShare of the given one. e is spareExponent, or more above
+// fullFrom, and x is such that all targets together have the given utilisation.
 func Allocation(averageSlots, speeds []float64, utilisation float64) []float64 {
 	u := min(max(utilisation, minAllocationUtilisation), 1)
 	exponent := spareExponent + (1-spareExponent)*max(0, (u-fullFrom)/(1-fullFrom))
@@ -40,6 +43,7 @@
 		total += averageSlots[i]
 	}
 	utilisationOf := func(i int, x float64) float64 { return max(minAllocatedShare*u, 1-x*spare[i]) }
+	// The work falls as x rises. 50 halvings find x to within 1e-13.
 	low, high := 0.0, float64(maxSpeedRatio)
 	for range 50 {
 		x := (low + high) / 2
@@ -59,6 +63,3 @@
 	}
 	return out
 }
-
-// maxSpeedRatio limits the ratio of speeds for which work is allocated.
-const maxSpeedRatio = 100
--- a/coordination/lead/coordinator.go
+++ b/coordination/lead/coordinator.go
@@ -61,9 +61,9 @@
 	// Quota has this instance's shares of limits on all instances. If nil, the coordinator creates a
 	// holder of its own.
 	Quota *quota.Holder
-	// Uneven reports whether keys are placed by the effect of targets on lateness, see
+	// PlaceByLateness reports whether keys are placed by the effect of targets on lateness, see
 	// keyrange.Allocation. If nil, they are not. It must not block.
-	Uneven func() bool
+	PlaceByLateness func() bool
 }
 
 // Rows of this package in the store. The lease and the maps share a part, so that each change of a
--- a/coordination/lead/quota.go
+++ b/coordination/lead/quota.go
@@ -120,12 +120,13 @@
 // allocate grants shares to an instance. The lease is checked under the lock that is taken to give
 // the lease up: after that, no share of this term is granted any more.
 func (t *term) allocate(instance string, r *quota.Report) *quota.Shares {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// The rules are read under the lock, so that a concurrent call does not set older limits again.
 	set := t.c.board.Snapshot().Rules
 	if set == nil {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	now := t.c.clock.Now()
 	if !t.holder.Valid(now) {
 		return nil
--- a/coordination/lead/term.go
+++ b/coordination/lead/term.go
@@ -237,9 +237,9 @@
 	work, stats := t.c.collector.TakeMeasurements()
 	t.c.aggregator.AddReport(work, stats, now)
 	limits := t.c.aggregator.Limits(now)
-	uneven := t.c.config.Uneven != nil && t.c.config.Uneven()
+	byLateness := t.c.config.PlaceByLateness != nil && t.c.config.PlaceByLateness()
 	for service, m := range t.managers {
-		m.SetUneven(uneven)
+		m.SetByLateness(byLateness)
 		m.SetLoad(t.c.aggregator.Load(service, now))
 		m.SetLimits(limits)
 	}
--- a/coordination/lead/uneven_test.go
+++ b/coordination/lead/uneven_test.go
@@ -23,7 +23,7 @@
 		now := &manualClock{now: clock.Instant(time.Hour)}
 		log := func(event string, fields ...any) { lines = append(lines, event+fmt.Sprint(fields...)) }
 		policy := keyrange.Policy{Imbalance: 1.2, MinDifference: 0.12}
-		config := Config{Self: view.Instance{ID: "i1.1", Weight: 1}, HoldMax: 10 * time.Second, Uneven: uneven, Policy: policy}
+		config := Config{Self: view.Instance{ID: "i1.1", Weight: 1}, HoldMax: 10 * time.Second, PlaceByLateness: uneven, Policy: policy}
 		c = New(config, now, &memoryStore{}, view.NewBoard(now), nil, noOrders{}, demand.NewCollector(), log)
 		t := c.beginTerm(&storedRows{lease: lease.Row{Holder: "i1.1", Term: 1}}, now.now)
 		const split = keyrange.MaxKey / 4 * 3
--- a/coordination/permit/contended.go
+++ b/coordination/permit/contended.go
@@ -40,8 +40,8 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`lycheehall_permit_contended_total{rule=%q,result=%q}`, rule, result)).Inc()
 }
 
-// updateContention makes the pool contended if the ask is, and ends it some time after the last such
-// ask.
+// updateContention makes the pool contended if the ask is, and ends that with the first ask that
+// arrives contendedFor or later after the last such one.
 func (p *pool) updateContention(a Ask, now clock.Instant) {
 	switch {
 	case a.Contended:
@@ -138,8 +138,9 @@
 }
 
 // admitContended decides whether an ask is queued. It is queued if it should get its slot within its
-// aim, behind the requests that precede it and those that are expected to arrive meanwhile, or, if it
-// is late already, if it should be answered before its deadline.
+// aim, behind the requests that precede it and those that are expected to arrive meanwhile. If it is
+// late already, or capacity was reserved for its return, it is also queued if it should be answered
+// before its deadline.
 //
 // Refusing requests that should get a slot within their aim but would probably be late, since half or
 // all of their expected duration is missing, leaves fewer of them in time: a refused caller returns
@@ -220,9 +221,10 @@
 	}
 	refused := p.waiting[oldest]
 	p.waiting = slices.Delete(p.waiting, oldest, oldest+1)
-	late := refused.rank(now)
-	late.late = true
-	refused.done <- decision{err: p.refuseFull(refused, p.contendedWait(refused, late, now), now)}
+	// After its return the request will be late.
+	r := refused.rank(now)
+	r.late = true
+	refused.done <- decision{err: p.refuseFull(refused, p.contendedWait(refused, r, now), now)}
 }
 
 // contendedWait estimates the time until a request of the given rank would get a slot.
@@ -240,7 +242,8 @@
 }
 
 // contendedWaitBehind estimates the time until a request of the given rank would get a slot, behind
-// the given waiting work of all kinds and of its own.
+// the given waiting work: ahead is that of all kinds, sameKind the part of the request's own kind. If
+// the kind is guaranteed a share of the slots, the wait is no longer than that behind sameKind there.
 func (p *pool) contendedWaitBehind(w *waiter, r rank, ahead, sameKind time.Duration, now clock.Instant) time.Duration {
 	c := p.capacity(w.expected, now)
 	if c.rateLimitedSlots <= 0 {
@@ -255,8 +258,8 @@
 		wait = p.contention.waitBehindReservations(r, wait, free.rateLimitedSlots, now)
 	}
 	if guaranteed > 0 && !r.late {
-		starved := c.estimateWait(running, 0) + workDuration(sameKind+w.expected, guaranteed)
-		wait = min(wait, starved)
+		guaranteedWait := c.estimateWait(running, 0) + workDuration(sameKind+w.expected, guaranteed)
+		wait = min(wait, guaranteedWait)
 	}
 	return wait
 }
@@ -273,20 +276,7 @@
 func (p *pool) serveContendedQueue(now clock.Instant) {
 	p.contention.expireReservations(now)
 	p.updateStanding(now)
-	slowness := p.meanSlowness(now)
-	for _, w := range p.waiting {
-		w.expectedNow = time.Duration(float64(w.expected) * slowness)
-	}
-	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
-		ra, rb := a.rank(now), b.rank(now)
-		switch {
-		case ra.before(rb):
-			return -1
-		case rb.before(ra):
-			return 1
-		}
-		return 0
-	})
+	p.sortQueue(now)
 	p.promoteStarved(now)
 	remaining := p.waiting[:0]
 	ahead, aheadByRule := time.Duration(0), map[string]time.Duration{}
--- a/coordination/permit/fullpools.go
+++ b/coordination/permit/fullpools.go
@@ -8,9 +8,14 @@
 	"lycheehall.example/lycheehall/clock"
 )
 
-// maxFullFor is the longest time for which an instance refuses asks after a keeper has refused one. A
-// queue of a few requests has changed after it.
-const maxFullFor = 150 * time.Millisecond
+const (
+	// maxFullFor is the longest time for which an instance refuses asks after a keeper has refused
+	// one. A queue of a few requests has changed after it.
+	maxFullFor = 150 * time.Millisecond
+	// freshShare is the share of its aim that an ask must have left for its refusal to be recorded.
+	// The refusal of one with less time, such as a second attempt, says nothing about new requests.
+	freshShare = 0.9
+)
 
 // FullPools holds the contended pools whose keepers have recently refused an ask of this instance
 // with ReasonFull, so that asks that would be refused too cause no message. It is safe for concurrent
@@ -31,16 +36,13 @@
 	aim, retryAfter time.Duration
 }
 
-// freshShare is the share of its aim that an ask must have left for its refusal to be recorded. The
-// refusal of one with less time, such as a second attempt, says nothing about new requests.
-const freshShare = 0.9
-
 // NewFullPools returns a FullPools without any refusals.
 func NewFullPools(c clock.Clock) *FullPools {
 	return &FullPools{clock: c, pools: map[PoolID]fullPool{}}
 }
 
-// RecordOutcome records the outcome of an ask.
+// RecordOutcome records the refusal of a new ask by its keeper, and ignores other outcomes. A refusal
+// of a more urgent ask that still holds is kept.
 func (f *FullPools) RecordOutcome(a Ask, err error) {
 	var refused *RefusedError
 	if !a.Contended || a.Returning || !errors.As(err, &refused) || refused.Reason != ReasonFull {
--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -267,19 +267,7 @@
 		p.serveContendedQueue(now)
 		return
 	}
-	slowness := p.meanSlowness(now)
-	for _, w := range p.waiting {
-		w.expectedNow = time.Duration(float64(w.expected) * slowness)
-	}
-	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
-		switch {
-		case a.precedes(b, now):
-			return -1
-		case b.precedes(a, now):
-			return 1
-		}
-		return 0
-	})
+	p.sortQueue(now)
 	remaining := p.waiting[:0]
 	running, ahead := p.remainingWork(now), time.Duration(0)
 	for _, w := range p.waiting {
@@ -299,6 +287,24 @@
 	p.waiting = remaining
 }
 
+// sortQueue updates the expected durations of the queued requests to the present slowness of the
+// pool, and sorts the requests by them.
+func (p *pool) sortQueue(now clock.Instant) {
+	slowness := p.meanSlowness(now)
+	for _, w := range p.waiting {
+		w.expectedNow = time.Duration(float64(w.expected) * slowness)
+	}
+	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
+		switch {
+		case p.precedes(a, b, now):
+			return -1
+		case p.precedes(b, a, now):
+			return 1
+		}
+		return 0
+	})
+}
+
 // report records the return of a permit and updates the statistics with the result of the request.
 func (p *pool) report(r Report, now clock.Instant) {
 	g, ok := p.granted[r.ID]
--- a/coordination/permit/reservations.go
+++ b/coordination/permit/reservations.go
@@ -10,7 +10,7 @@
 
 const (
 	// reservationGrace is how long after the time that a caller was told its capacity stays
-	// reserved. It covers the way of the refusal and of the new request.
+	// reserved. It covers the transmission of the refusal and of the new request.
 	reservationGrace = 150 * time.Millisecond
 	// maxReservations bounds the reservations of a pool.
 	maxReservations = 256
@@ -28,7 +28,8 @@
 	from, until clock.Instant
 }
 
-// reserve records, unless there are too many reservations, that the caller of a refused request was told to return after the given time.
+// reserve records that the caller of a refused request was told to return after the given time. It
+// reports whether it has: there are at most maxReservations.
 func (c *contention) reserve(w *waiter, r rank, retryAfter time.Duration, now clock.Instant) bool {
 	c.expireReservations(now)
 	if len(c.reservations) >= maxReservations {
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -32,8 +32,8 @@
 	AimLeft time.Duration
 	// Left is the remaining time until the request is given up.
 	Left time.Duration
-	// Contended is set if kinds of requests compete for the targets of the service. The pool then
-	// decides by urgency, see contention.
+	// Contended is set if the decisions for competing kinds of requests are in effect in the
+	// deployment, see contention.Switch. The pool then decides by urgency.
 	Contended bool
 	// Aim is the rule's whole aim, of which AimLeft is the rest; 0 if Contended is not set.
 	Aim time.Duration
--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -53,8 +53,8 @@
 	// inUse holds what each instance may be using, total is the sum.
 	inUse map[string]Amount
 	total Amount
-	// planned is the division of the limit that is to be reached, made at plannedAt. present are the
-	// instances that it was made for.
+	// planned is the division of the limit that is to be reached, made at plannedAt. It has an entry
+	// for each instance that it was made for. wait is when those without a share get one.
 	planned   map[string]Amount
 	wait      map[string]time.Duration
 	plannedAt clock.Instant
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -63,14 +63,17 @@
 	wait clock.Instant
 	// promised is the latest time that a caller was told to come back at.
 	promised clock.Instant
-	begun    clock.Instant
+	// begun is when this instance learned of the limit.
+	begun clock.Instant
 
-	// arrivals are the requests since countedAt; rate is the average before.
+	// arrivals are the requests since countedAt; rate is the average before, in requests a second.
 	arrivals  int
 	countedAt clock.Instant
+	// arrivedAt is when the latest request arrived.
 	arrivedAt clock.Instant
 	rate      float64
-	duration  time.Duration
+	// duration is the mean duration of the requests; 0 before the first one has ended.
+	duration time.Duration
 
 	shareRate, shareConcurrent *metrics.Gauge
 	admitted, refused          *metrics.Counter
--- a/coordination/quota/plan.go
+++ b/coordination/quota/plan.go
@@ -113,6 +113,8 @@
 	// There are more instances with requests than shares, so they take turns. Those whose turn is not
 	// over come first, then the others by when they last had a share.
 	length := turnLength(limit)
+	// clock.Never precedes all other instants. Instances that have not had a share yet come right
+	// behind those whose turn is not over.
 	rank := func(p participant) clock.Instant {
 		if begun, holding := t.begun[p.id]; holding && now.Sub(begun) < length {
 			return clock.Never
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -191,11 +191,11 @@
 		},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
-	uneven := func() bool { return i.contention.Deployment(i.board.Snapshot().Rules) }
+	placeByLateness := func() bool { return i.contention.Deployment(i.board.Snapshot().Rules) }
 	i.coordinator = lead.New(
 		lead.Config{
 			Self: i.self, Source: i.platform.Source, Seeds: i.settings.Seeds, HoldMax: time.Duration(i.settings.HoldMax), Policy: balancePolicy,
-			Quarantine: i.quarantine, TargetStatus: i.targetStatus, Quota: i.quota, Uneven: uneven,
+			Quarantine: i.quarantine, TargetStatus: i.targetStatus, Quota: i.quota, PlaceByLateness: placeByLateness,
 		},
 		i.clock, i.platform.Store, i.board, &lamportPeers{i.peerClient, i.log}, orderClient, collector, i.log.Event)
 	i.callers = &http.Server{Handler: i.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeaderBytes}
--- a/transport/front/rulelimits.go
+++ b/transport/front/rulelimits.go
@@ -8,8 +8,8 @@
 	"lycheehall.example/lycheehall/protocol/rules"
 )
 
-// ruleLimits enforces the limits of rules that apply to each instance. No other lock is acquired while its lock
-// is held.
+// ruleLimits enforces the limits of rules that apply to each instance. No other lock is acquired while
+// its lock is held.
 type ruleLimits struct {
 	mu     sync.Mutex
 	set    *rules.Set
--- a/transport/membudget/budget.go
+++ b/transport/membudget/budget.go
@@ -42,8 +42,8 @@
 }
 
 // New returns a budget of which nothing is reserved. While inEffect returns false, the budget is off
-// whatever its limits; nil means always in effect. It is called for each
-// request and connection, by any goroutine, and must be cheap.
+// whatever its limits; nil means always in effect. It is called for each request and connection, by
+// any goroutine, and must be cheap.
 func New(c clock.Clock, limits Limits, inEffect func() bool) *Budget {
 	b := &Budget{clock: c, inEffect: inEffect, byConnection: map[string]int64{}, updatedAt: c.Now()}
 	b.Configure(limits)
@@ -113,7 +113,8 @@
 }
 
 // Grow increases the reservation to the size of the ask if the budget admits a request of that size
-// in place of this one. If it refuses, the reservation stays as it is.
+// in place of this one. If it refuses, the reservation stays as it is. If the budget has been turned
+// off meanwhile, the reservation becomes the size of the ask, which may be smaller.
 func (r *Reservation) Grow(a Ask) Decision {
 	if r == nil {
 		return Decision{Admitted: true}
--- a/transport/membudget/promises.go
+++ b/transport/membudget/promises.go
@@ -9,9 +9,9 @@
 const (
 	// promiseStep is the resolution of the times that refused callers are told.
 	promiseStep = 50 * time.Millisecond
-	// dueSteps is for how many steps memory is left for a caller after its Retry-After. The way to the
-	// caller and back takes some milliseconds; a caller that has given up must not keep out others
-	// for long.
+	// dueSteps is for how many steps memory is left for a caller after its Retry-After. The round trip
+	// to the caller takes some milliseconds; a caller that has given up must not keep out others for
+	// long.
 	dueSteps = 5
 	// promiseSteps is the number of steps up to maxRetryAfter, and those for which callers are due.
 	promiseSteps = int(maxRetryAfter/promiseStep) + dueSteps + 1
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -138,8 +138,8 @@
 	return n, nil
 }
 
-// advance follows the framing of bytes for the server and returns how many of them belong to the
-// current request.
+// advance updates the position in the stream by bytes for the server, and returns how many of them
+// belong to the current request. The caller passes no more than these to the server.
 func (c *conn) advance(b []byte) int {
 	n := 0
 	if c.state == inHead {
--- a/transport/pipeline/framing.go
+++ b/transport/pipeline/framing.go
@@ -27,7 +27,8 @@
 
 // bodyLength returns the length of the body that follows a request head. It returns false if net/http
 // may see another end of the request than this package: the head has a line that ends without CR, a
-// folded line, a space in front of a colon, Transfer-Encoding, or a Content-Length that is not a single plain number.
+// folded line, a space in front of a colon, Transfer-Encoding, or a Content-Length that is not a
+// single plain number.
 func bodyLength(head []byte) (int64, bool) {
 	length, seen := int64(0), false
 	for first := true; len(head) > 0; first = false {
--- a/transport/pipeline/pipeline.go
+++ b/transport/pipeline/pipeline.go
@@ -31,7 +31,8 @@
 type Pipeline struct {
 	handler Handler
 	depth   int
-	// maxHead is the longest head in bytes that is started; the server decides about longer ones.
+	// maxHead is the longest head, in bytes, of a request that is started ahead of its turn; the server
+	// decides about longer ones.
 	maxHead int
 	// stall is how long a caller may take nothing of a response that the handler did not write itself.
 	stall    time.Duration
