Keep the state of limits that are removed, and count waiting work once

A limit on concurrent requests that is removed and comes back before the requests that it has admitted have ended was given out as if these did not run: a lost instance's part passed on at once. The allocator keeps removed limits until all such requests have ended; the new entry fails without that.

While the queue of a contended pool is served, requests that had just been granted still counted as waiting, so that others were sent to other data centres too early, and the oldest request of a standing queue was refused by the work of all rules of its priority.

--- a/coordination/permit/contended.go
+++ b/coordination/permit/contended.go
@@ -211,7 +211,9 @@
 		if other.ask.Priority < w.ask.Priority {
 			continue
 		}
-		sameKind += other.expected
+		if other.ask.Rule == w.ask.Rule {
+			sameKind += other.expected
+		}
 		if oldest < 0 || other.firstArrival() < p.waiting[oldest].firstArrival() {
 			oldest = i
 		}
@@ -278,7 +280,8 @@
 	p.updateStanding(now)
 	p.sortQueue(now)
 	p.promoteStarved(now)
-	remaining := p.waiting[:0]
+	// pickTarget reads the queue, so it is not compacted in place.
+	remaining := make([]*waiter, 0, len(p.waiting))
 	ahead, aheadByRule := time.Duration(0), map[string]time.Duration{}
 	for _, w := range p.waiting {
 		if now.Add(w.expectedNow/2) > w.deadline {
@@ -286,6 +289,7 @@
 			continue
 		}
 		if t := p.pickTarget(w, now); t != nil {
+			w.left = true
 			w.done <- decision{permit: p.grant(w, t, now)}
 			continue
 		}
@@ -299,13 +303,13 @@
 		aheadByRule[w.ask.Rule] += w.expected
 		remaining = append(remaining, w)
 	}
-	clear(p.waiting[len(remaining):])
 	p.waiting = remaining
 }
 
 // refuseLate refuses a queued request that cannot be served before its deadline any more.
 func (p *pool) refuseLate(w *waiter, wait time.Duration, now clock.Instant) {
 	countContended(w.ask.Rule, "refused-late")
+	w.left = true
 	w.done <- decision{err: &RefusedError{Reason: ReasonLate, RetryAfter: w.retryAfter(wait, now)}}
 }
 
--- a/coordination/permit/locality.go
+++ b/coordination/permit/locality.go
@@ -61,7 +61,7 @@
 		}
 	}
 	for _, other := range p.waiting {
-		if other != w && other.ask.DataCentre == w.ask.DataCentre && !p.precedes(w, other, now) {
+		if other != w && !other.left && other.ask.DataCentre == w.ask.DataCentre && !p.precedes(w, other, now) {
 			work += other.expected
 		}
 	}
--- a/coordination/permit/types.go
+++ b/coordination/permit/types.go
@@ -155,7 +155,9 @@
 	expected, expectedNow time.Duration
 	// newestFirst is set in a contended pool while newer requests of the same priority come first.
 	newestFirst bool
-	done        chan decision
+	// left is set when the request has been granted or refused while the queue is being served.
+	left bool
+	done chan decision
 }
 
 // decision is the final result of an ask.
--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -35,7 +35,10 @@
 	// afterOthers says that there have been former leaders.
 	afterOthers bool
 	limits      map[string]*limitState
-	instances   map[string]*instanceState
+	// removed holds limits that are not in force any more, while requests that they have admitted may
+	// be running: the same limit may come back before these have ended.
+	removed   map[string]removedLimit
+	instances map[string]*instanceState
 	// members is the number of instances, including those that have not reported to this leader.
 	members int
 	// ids lists the instances in order, as of sweptAt.
@@ -43,6 +46,13 @@
 	sweptAt clock.Instant
 }
 
+// removedLimit is a limit that is not in force any more.
+type removedLimit struct {
+	*limitState
+	// endsAt is when all requests that it has admitted have ended.
+	endsAt clock.Instant
+}
+
 // limitState is a limit and its division.
 type limitState struct {
 	Limit
@@ -82,7 +92,7 @@
 func NewAllocator(term uint64, afterOthers bool, now clock.Instant) *Allocator {
 	a := &Allocator{
 		term: term, noneUntil: now, afterOthers: afterOthers, sweptAt: now,
-		limits: map[string]*limitState{}, instances: map[string]*instanceState{},
+		limits: map[string]*limitState{}, removed: map[string]removedLimit{}, instances: map[string]*instanceState{},
 	}
 	if afterOthers {
 		a.noneUntil = now.Add(expiry)
@@ -99,6 +109,10 @@
 	next := map[string]*limitState{}
 	for _, l := range list {
 		state := a.limits[l.Rule]
+		if removed, found := a.removed[l.Rule]; state == nil && found {
+			state = removed.limitState
+			delete(a.removed, l.Rule)
+		}
 		if state == nil {
 			state = &limitState{begunAt: now, turns: turns{begun: map[string]clock.Instant{}, lastHeld: map[string]clock.Instant{}}}
 		}
@@ -109,6 +123,11 @@
 		state.Limit = l
 		next[l.Rule] = state
 	}
+	for rule, state := range a.limits {
+		if next[rule] == nil {
+			a.removed[rule] = removedLimit{state, now.Add(expiry + state.lingering())}
+		}
+	}
 	a.limits = next
 	a.recount(now)
 }
@@ -246,6 +265,10 @@
 	for _, l := range a.limits {
 		longest = max(longest, l.lingering())
 	}
+	maps.DeleteFunc(a.removed, func(_ string, l removedLimit) bool { return now >= l.endsAt })
+	for _, l := range a.removed {
+		longest = max(longest, l.lingering())
+	}
 	for id, in := range a.instances {
 		in.grants = slices.DeleteFunc(in.grants, func(g grant) bool { return now >= g.expires.Add(longest) })
 		if len(in.grants) == 0 && now >= in.reportedAt.Add(max(longest, presentFor)) {
--- a/coordination/quota/failures_test.go
+++ b/coordination/quota/failures_test.go
@@ -252,6 +252,12 @@
 		},
 		Entry("with the same leader", func(*fleet) {}),
 		Entry("with a new leader, which has never heard of it", func(f *fleet) { f.lead() }),
+		Entry("with the limit out of force for a while", func(f *fleet) {
+			f.leader.SetLimits(nil, f.now)
+			f.advance(time.Second)
+			f.leader.SetLimits(nil, f.now)
+			f.leader.SetLimits(quota.LimitsOf(f.list()), f.now)
+		}),
 	)
 
 	// Guards against a lowered limit that comes into force only when all shares have expired, or never.
