Say by one function whether kinds compete in a deployment

rules.Set had two functions, one for a service, which only specs called since the decisions hold in the whole deployment. The specs of both packages pass; decisions are unchanged.

--- a/coordination/contention/contention.go
+++ b/coordination/contention/contention.go
@@ -14,7 +14,7 @@
 const (
 	// ModeOff: nowhere.
 	ModeOff Mode = "off"
-	// ModeAuto: where the rules in force let kinds compete for a service, see rules.Set.AnyContended.
+	// ModeAuto: where the rules in force let kinds compete for a service, see rules.Set.Contended.
 	ModeAuto Mode = "auto"
 	// ModeOn: everywhere.
 	ModeOn Mode = "on"
@@ -36,7 +36,7 @@
 	case ModeOn:
 		return true
 	case ModeAuto:
-		return set != nil && set.AnyContended()
+		return set != nil && set.Contended()
 	}
 	return false
 }
--- a/protocol/rules/contention.go
+++ b/protocol/rules/contention.go
@@ -12,20 +12,14 @@
 // until the other one has been served.
 const ContendedAimRatio = 2
 
-// Contended reports whether kinds of requests compete for the targets of a service: a rule of the
+// Contended reports whether kinds of requests compete for the targets of any service: a rule of the
 // service is less urgent than another one, and has an aim at least ContendedAimRatio times as long.
-func (s *Set) Contended(service string) bool {
+func (s *Set) Contended() bool {
 	s.contendedOnce.Do(s.findContended)
-	return s.contended[service]
+	return s.contended
 }
 
-// AnyContended reports whether any service is contended.
-func (s *Set) AnyContended() bool {
-	s.contendedOnce.Do(s.findContended)
-	return len(s.contended) > 0
-}
-
-// findContended sets the contended services.
+// findContended sets contended.
 func (s *Set) findContended() {
 	byService := map[string][]*Rule{}
 	for r := range s.All() {
@@ -38,10 +32,10 @@
 			}
 		}
 	}
-	s.contended = map[string]bool{}
-	for service, list := range byService {
+	for _, list := range byService {
 		if compete(list) {
-			s.contended[service] = true
+			s.contended = true
+			return
 		}
 	}
 }
--- a/protocol/rules/match.go
+++ b/protocol/rules/match.go
@@ -43,9 +43,9 @@
 	rules    []*compiledRule
 	index    *index
 	warnings Mistakes
-	// contended holds the contended services; see Contended.
+	// contended is computed when it is first asked for; see Contended.
 	contendedOnce sync.Once
-	contended     map[string]bool
+	contended     bool
 	// shared holds the rules with a limit on all instances together; see SharedLimits.
 	sharedOnce sync.Once
 	shared     []*Rule
