Count and log connections to targets that fail, and ejections of targets

The logs of an incident could not tell three causes apart: an instance whose links are broken, a target that is gone, and a keeper that gives out no slots of a target because one instance could not reach it. The request log names only the last error of a request, orders log no error, and ejections left no trace.

Requests and orders now connect through one package. It counts failures by reason and logs them by target, at most once a second each. Keepers count ejections by the result that caused them.

--- a/coordination/permit/pool.go
+++ b/coordination/permit/pool.go
@@ -1,9 +1,12 @@
 package permit
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"lycheehall.example/lycheehall/clock"
 )
 
@@ -336,16 +339,22 @@
 	case ResultFailed, ResultNotExecuted:
 		t.failureRate = t.failureRate*(1-smoothing) + smoothing
 		if t.failureRate > maxFailureRate && p.mayEject(now) {
-			t.ejectedUntil = now.Add(ejectionTime)
+			t.eject(r.Result, now)
 		}
 	case ResultUnreachable:
 		if p.mayEject(now) {
-			t.ejectedUntil = now.Add(ejectionTime)
+			t.eject(r.Result, now)
 		}
 	case ResultDropped:
 	}
 }
 
+// eject excludes the target from use for ejectionTime, because of a request with the given result.
+func (t *poolTarget) eject(because Result, now clock.Instant) {
+	t.ejectedUntil = now.Add(ejectionTime)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lycheehall_permit_ejections_total{result=%q}`, because)).Inc()
+}
+
 // recordDuration updates the mean duration of the rule's requests at an average target, and, if the
 // target does not report its slowness, the target's measured slowness.
 func (p *pool) recordDuration(t *poolTarget, rule string, r Report, now clock.Instant) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -35,6 +35,7 @@
 	"lycheehall.example/lycheehall/transport/orders"
 	"lycheehall.example/lycheehall/transport/peers"
 	"lycheehall.example/lycheehall/transport/pipeline"
+	"lycheehall.example/lycheehall/transport/targetdial"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
 
@@ -57,6 +58,8 @@
 	// StoresRules says whether lycheehall itself stores the rules. Otherwise they come from the
 	// platform's configuration.
 	StoresRules bool
+	// DialTarget connects to targets. If it is nil, net.Dialer does.
+	DialTarget targetdial.DialFunc
 }
 
 // balancePolicy says when keys are reassigned for balance, in addition to the services' own
@@ -76,6 +79,7 @@
 
 	board        *view.Board
 	broker       *permitBroker
+	dialer       *targetdial.Dialer
 	pool         *upstream.Pool
 	targetStatus *targetstatus.Tracker
 	quarantine   *quarantine.Tracker
@@ -175,7 +179,8 @@
 	i.contention.Set(i.settings.Contention.Mode)
 	i.memoryAuto.Store(i.settings.Memory.Mode == contention.ModeAuto)
 	i.board = view.NewBoard(i.clock)
-	i.pool = upstream.NewPool()
+	i.dialer = targetdial.New(i.platform.DialTarget, i.log.Event)
+	i.pool = upstream.NewPool(i.dialer)
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewTracker(time.Now)
 	i.quota = quota.NewHolder(i.clock)
@@ -190,7 +195,7 @@
 			Memory: i.memory, Contended: i.contention.Deployment, Quota: i.quota,
 		},
 		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
-	orderClient := orders.NewClient(i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
+	orderClient := orders.NewClient(i.dialer, i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	placeByLateness := func() bool { return i.contention.Deployment(i.board.Snapshot().Rules) }
 	i.coordinator = lead.New(
 		lead.Config{
@@ -278,6 +283,7 @@
 			targets := i.board.Snapshot().Targets
 			listed := func(id string) bool { _, known := targets[id]; return known }
 			i.pool.CloseExpired(listed)
+			i.dialer.Prune(listed)
 			i.targetStatus.Prune(listed)
 		case <-ctx.Done():
 			return
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -26,6 +26,7 @@
 	"lycheehall.example/lycheehall/coordination/assign"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/targetdial"
 )
 
 const (
@@ -63,6 +64,7 @@
 
 // Client sends orders to targets. It is safe for concurrent use.
 type Client struct {
+	dialer  *targetdial.Dialer
 	encoder Encoder
 	names   wire.Names
 	clock   clock.Clock
@@ -93,9 +95,9 @@
 	openedAt clock.Instant
 }
 
-// NewClient returns a client without connections. isLeader reports whether this instance leads.
-func NewClient(encoder Encoder, names wire.Names, c clock.Clock, isLeader func() bool) *Client {
-	return &Client{encoder: encoder, names: names, clock: c, isLeader: isLeader, targets: map[string]*connections{}, grantTokens: map[string]chan struct{}{}}
+// NewClient returns a client without connections; the dialer makes them. isLeader reports whether this instance leads.
+func NewClient(dialer *targetdial.Dialer, encoder Encoder, names wire.Names, c clock.Clock, isLeader func() bool) *Client {
+	return &Client{dialer: dialer, encoder: encoder, names: names, clock: c, isLeader: isLeader, targets: map[string]*connections{}, grantTokens: map[string]chan struct{}{}}
 }
 
 // Do sends an order. It returns what is known about its effect, the handover reference of the
@@ -261,8 +263,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, o assign.Order) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", o.Address)
+	raw, err := c.dialer.Dial(ctx, targetdial.Target{ID: o.Target, Address: o.Address}, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("orders: connect to target: %w", err)
 	}
--- a/transport/orders/orders_test.go
+++ b/transport/orders/orders_test.go
@@ -18,6 +18,7 @@
 	"lycheehall.example/lycheehall/coordination/assign"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/targetdial"
 )
 
 func TestOrders(t *testing.T) {
@@ -25,6 +26,8 @@
 	RunSpecs(t, "Orders")
 }
 
+var testDialer = targetdial.New(nil, func(string, ...any) {})
+
 // testEncoder encodes orders as their bare numbers.
 type testEncoder struct{}
 
@@ -64,7 +67,7 @@
 	// second; targets reset connections beyond their maximum, and renewals were among those.
 	It("share a few connections", func() {
 		address, connections := countingTarget(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-		c := NewClient(testEncoder{}, names, clock.System{}, always)
+		c := NewClient(testDialer, testEncoder{}, names, clock.System{}, always)
 		for range 5 {
 			var round sync.WaitGroup
 			for n := range 20 {
@@ -84,7 +87,7 @@
 	It("are not sent by an instance that is no longer the leader", func() {
 		requests := atomic.Int64{}
 		address, _ := countingTarget(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
-		c := NewClient(testEncoder{}, names, clock.System{}, func() bool { return false })
+		c := NewClient(testDialer, testEncoder{}, names, clock.System{}, func() bool { return false })
 		outcome, _, _ := c.Do(context.Background(), renewal(address, 1))
 		Expect(outcome).To(Equal(assign.OutcomeNotSent))
 		Expect(requests.Load()).To(BeZero())
@@ -100,7 +103,7 @@
 		s = httptest.NewServer(respond)
 		DeferCleanup(func() { s.Close() })
 		address := s.Listener.Addr().String()
-		c := NewClient(testEncoder{}, names, clock.System{}, always)
+		c := NewClient(testDialer, testEncoder{}, names, clock.System{}, always)
 		do := func(since clock.Instant) assign.Outcome {
 			o := renewal(address, 1)
 			o.ConnectionOpenSince = since
@@ -122,7 +125,7 @@
 	// old enough: the first renewal takes it, and the others have to wait for it.
 	It("wait for a connection that is old enough but busy", func() {
 		address, connections := countingTarget(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
-		c := NewClient(testEncoder{}, names, clock.System{}, always)
+		c := NewClient(testDialer, testEncoder{}, names, clock.System{}, always)
 		c.Do(context.Background(), renewal(address, 0))
 		lastGrant := clock.System{}.Now()
 		var round sync.WaitGroup
@@ -144,7 +147,7 @@
 		address, _ := countingTarget(func(_ http.ResponseWriter, r *http.Request) { name = r.Header.Get("Target") })
 		o := renewal(address, 1)
 		o.Target = view.TargetID("t@1", 4711)
-		NewClient(testEncoder{}, names, clock.System{}, always).Do(context.Background(), o)
+		NewClient(testDialer, testEncoder{}, names, clock.System{}, always).Do(context.Background(), o)
 		Expect(name).To(Equal("t@1"))
 	})
 
@@ -154,7 +157,7 @@
 			w.Header().Set("Handover", "h")
 			w.WriteHeader(status)
 		})
-		c := NewClient(testEncoder{}, names, clock.System{}, always)
+		c := NewClient(testDialer, testEncoder{}, names, clock.System{}, always)
 		for code, want := range map[int]assign.Outcome{
 			http.StatusOK: assign.OutcomeDone, http.StatusConflict: assign.OutcomeHigherFence,
 			http.StatusMisdirectedRequest: assign.OutcomeOtherTarget, http.StatusInternalServerError: assign.OutcomeUnknown,
--- /dev/null
+++ b/transport/targetdial/doc.go
@@ -0,0 +1,2 @@
+// Package targetdial connects to targets.
+package targetdial
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/targetdial"
 )
 
 const (
@@ -67,6 +68,7 @@
 
 // Pool caches connections to targets. It is safe for concurrent use.
 type Pool struct {
+	dialer *targetdial.Dialer
 	// acceptCheckTime is the constant of that name, except in tests.
 	acceptCheckTime time.Duration
 
@@ -81,9 +83,9 @@
 	lastLostOnIdleAt time.Time
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{acceptCheckTime: acceptCheckTime, targets: map[string]*connections{}}
+// NewPool returns an empty pool whose connections the dialer makes.
+func NewPool(dialer *targetdial.Dialer) *Pool {
+	return &Pool{dialer: dialer, acceptCheckTime: acceptCheckTime, targets: map[string]*connections{}}
 }
 
 func (p *Pool) target(id string) *connections {
@@ -127,9 +129,8 @@
 	}
 	t.open++
 	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
 	start := time.Now()
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.Dial(ctx, targetdial.Target{ID: id, Address: address}, dialTimeout)
 	if err == nil {
 		err = checkAccepted(raw, time.Since(start)+p.acceptCheckTime)
 	}
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/targetdial"
 )
 
 func TestUpstream(t *testing.T) {
@@ -92,7 +93,9 @@
 	return &Request{ID: id, Method: "POST", URI: "/x", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte(body)}
 }
 
-func newClient() *Client { return NewClient(NewPool(), names) }
+func newPool() *Pool { return NewPool(targetdial.New(nil, func(string, ...any) {})) }
+
+func newClient() *Client { return NewClient(newPool(), names) }
 
 func within(d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
@@ -318,7 +321,7 @@
 	// Guards against losing requests where a target drops idle connections without notice: when it
 	// has dropped one, it has probably dropped the others too.
 	It("avoids connections that were idle for long after a request was lost on one", func() {
-		p := NewPool()
+		p := newPool()
 		p.recordLostOnIdle("t1")
 		client, server := net.Pipe()
 		defer server.Close()
