Reproduce instances that are partitioned from all targets

Three instances and three targets, each a process; the links of one instance to all targets hang, are reset, or live on while new connections are refused, for 9 s.

--- a/instance/child_test.go
+++ b/instance/child_test.go
@@ -104,13 +104,18 @@
 	s.Name, s.DataCentre, s.Platform = name, "dc-"+name, platformAddress
 	s.Listen, s.Peer, s.Admin, s.Readiness = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.OperatorToken, s.Secret = testSecret, testSecret
-	i, err := instance.New(s, platform.NewWithStoredRules(platformAddress), io.Discard)
+	p := platform.NewWithStoredRules(platformAddress)
+	links := newTargetLinks()
+	p.DialTarget = links.dial
+	i, err := instance.New(s, p, io.Discard)
 	if err != nil {
 		panic(err)
 	}
 	i.Start()
 	callers, operators := i.Addresses()
-	fmt.Println(callers, operators)
+	control := listen()
+	go func() { panic(http.Serve(control, links)) }()
+	fmt.Println(callers, operators, control.Addr())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM)
 	<-signals
@@ -122,6 +127,8 @@
 	cmd     *exec.Cmd
 	address string
 	admin   string
+	// linkControl is the address at which an instance takes the faults of its links to targets.
+	linkControl string
 }
 
 func childCommand(role string, args ...string) *exec.Cmd {
@@ -145,7 +152,7 @@
 	_, err = fmt.Fscan(out, &c.address)
 	Expect(err).NotTo(HaveOccurred())
 	if role == "instance" {
-		_, err = fmt.Fscan(out, &c.admin)
+		_, err = fmt.Fscan(out, &c.admin, &c.linkControl)
 		Expect(err).NotTo(HaveOccurred())
 	}
 	return c
