Connect to targets through other instances where the direct path is broken

Callers of instances that were partitioned from all targets were refused: an instance had one way to a target, its own connection, tried it up to six times for 350 ms each while it held a permit, and remembered nothing from one request to the next.

A connection is now tried through another instance when the direct attempt fails or takes 100 ms. The other instance forwards bytes in a tunnel, so that what is known about an attempt, cancellation, timeouts and identity checks stay as on a direct connection. From the outcomes a tracker decides which way later connections take: a path that failed while another instance reached the target is broken, two of them without a sign of any target are a partition. Direct paths are tested by connections without a request. A refused connection counts as the exit of a process only if other instances are refused, too. An instance that shuts down waits for its tunnels.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -179,7 +179,9 @@
 	i.contention.Set(i.settings.Contention.Mode)
 	i.memoryAuto.Store(i.settings.Memory.Mode == contention.ModeAuto)
 	i.board = view.NewBoard(i.clock)
-	i.dialer = targetdial.New(i.platform.DialTarget, i.log.Event)
+	i.dialer = targetdial.New(targetdial.Config{
+		Self: i.self, Clock: i.clock, Dial: i.platform.DialTarget, Tunnels: i.peerClient, Board: i.board, Log: i.log.Event,
+	})
 	i.pool = upstream.NewPool(i.dialer)
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewTracker(time.Now)
@@ -337,6 +339,8 @@
 	if err := i.callers.Shutdown(ctx); err != nil {
 		i.log.Event("cut-off", "in_flight", i.handler.InFlight(), "error", err.Error())
 	}
+	// Other instances end the tunnels through this one once it is not listed any more.
+	i.peerServer.DrainTunnels(ctx)
 	i.log.Event("stopped", "in_flight", i.handler.InFlight())
 	i.Close()
 }
@@ -390,6 +394,11 @@
 	return &peerapi.AcquireReply{Reason: "stopping", RetryAfter: time.Second}
 }
 
+// DialTarget implements peers.Backend.
+func (b *peerBackend) DialTarget(ctx context.Context, target string) (net.Conn, peers.TunnelStatus) {
+	return b.dialer.DialForPeer(ctx, target)
+}
+
 // Release implements peers.Backend.
 func (b *peerBackend) Release(args *peerapi.ReleaseArgs) {
 	if args.Abandon {
--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -12,6 +12,7 @@
 	"lycheehall.example/lycheehall/coordination/quarantine"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
+	"lycheehall.example/lycheehall/transport/targetdial"
 	"lycheehall.example/lycheehall/transport/upstream"
 )
 
@@ -113,6 +114,8 @@
 		retry := c.then.Idempotent && !c.keyed && c.mayRetry(wait)
 		c.outcomeUnknown = c.outcomeUnknown || retry
 		return result{response: resp}, retry
+	case errors.Is(err, targetdial.ErrPartitioned):
+		return notExecutedResult("partitioned", partitionedRetryAfter), false
 	case errors.Is(err, upstream.ErrNotSent):
 		c.awaitUpdate(wait, maxUpdateWait)
 		if wait.Err() != nil {
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -24,6 +24,9 @@
 	// stoppingRetryAfter is the Retry-After while this instance shuts down. The caller's next
 	// connection goes to another instance.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// partitionedRetryAfter is the Retry-After while this instance reaches no target and no other instance
+	// connects for it. The caller's next connection may go to one that does.
+	partitionedRetryAfter = 50 * time.Millisecond
 	// limitRetryAfter is the Retry-After when the rule's limit on each instance is reached.
 	limitRetryAfter = time.Second
 	// unavailableRetryAfter is the Retry-After when the owner of the key was lost or no target
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -263,7 +263,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, o assign.Order) (*conn, error) {
-	raw, err := c.dialer.Dial(ctx, targetdial.Target{ID: o.Target, Address: o.Address}, dialTimeout)
+	raw, err := c.dialer.DialDirect(ctx, targetdial.Target{ID: o.Target, Address: o.Address})
 	if err != nil {
 		return nil, fmt.Errorf("orders: connect to target: %w", err)
 	}
--- a/transport/orders/orders_test.go
+++ b/transport/orders/orders_test.go
@@ -26,7 +26,7 @@
 	RunSpecs(t, "Orders")
 }
 
-var testDialer = targetdial.New(nil, func(string, ...any) {})
+var testDialer = targetdial.New(targetdial.Config{Clock: clock.System{}, Board: view.NewBoard(clock.System{}), Log: func(string, ...any) {}})
 
 // testEncoder encodes orders as their bare numbers.
 type testEncoder struct{}
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -102,7 +102,7 @@
 	}
 	conn, err := c.dial(address)
 	if err == nil {
-		setAckTimeout(conn)
+		setAckTimeout(conn, ackTimeout)
 		conn, err = secure(conn, c.security.secureClient)
 	}
 	if err != nil {
@@ -126,10 +126,10 @@
 	return secured, nil
 }
 
-// setAckTimeout makes a connection fail when its peer does not acknowledge sent data for
-// ackTimeout. Without it a write to a machine that has lost power blocks for minutes. If the
-// option cannot be set, the time limit of each call still applies.
-func setAckTimeout(conn net.Conn) {
+// setAckTimeout makes a connection fail when its peer does not acknowledge sent data for the given
+// time. Without it a write to a machine that has lost power blocks for minutes. If the option cannot be
+// set, the time limit of each call still applies.
+func setAckTimeout(conn net.Conn, timeout time.Duration) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return
@@ -139,7 +139,7 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 }
 
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -40,6 +40,16 @@
 	return &peerapi.Description{}
 }
 
+// DialTarget connects to the address that is given as the target's ID.
+func (fakeBackend) DialTarget(ctx context.Context, target string) (net.Conn, TunnelStatus) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", target)
+	if err != nil {
+		return nil, TargetRefused
+	}
+	return conn, TunnelConnected
+}
+
 func startServer(security Security) string {
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/transport/peers/server.go
+++ b/transport/peers/server.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,9 @@
 	Acquire(ctx context.Context, args *peerapi.AcquireArgs) *peerapi.AcquireReply
 	Release(args *peerapi.ReleaseArgs)
 	Describe(args *peerapi.DescribeArgs) *peerapi.Description
+	// DialTarget connects to a target for another instance. The connection is nil unless the status is
+	// TunnelConnected.
+	DialTarget(ctx context.Context, target string) (net.Conn, TunnelStatus)
 }
 
 // service is the receiver that is registered with net/rpc. Its methods are the calls that instances
@@ -54,8 +58,11 @@
 type Server struct {
 	listener net.Listener
 	security Security
+	backend  Backend
+	ctx      context.Context
 	cancel   context.CancelFunc
 	rpc      *rpc.Server
+	tunnels  tunnels
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -65,7 +72,7 @@
 // NewServer returns a server for a backend.
 func NewServer(l net.Listener, security Security, backend Backend) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: l, security: security, cancel: cancel, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	s := &Server{listener: l, security: security, backend: backend, ctx: ctx, cancel: cancel, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName(ServiceName, &service{ctx, backend}); err != nil {
 		cancel()
 		return nil, fmt.Errorf("peers: register: %w", err)
@@ -87,7 +94,7 @@
 			conn.Close()
 			return nil
 		}
-		setAckTimeout(conn)
+		setAckTimeout(conn, ackTimeout)
 		go s.serve(conn)
 	}
 }
@@ -99,9 +106,22 @@
 		// The client failed to authenticate or has disconnected, so the error cannot be reported to it.
 		return
 	}
-	s.rpc.ServeConn(secured)
+	reader := bufio.NewReader(secured)
+	if isTunnel(reader) {
+		s.serveTunnel(conn, secured, reader)
+		return
+	}
+	s.rpc.ServeConn(bufferedConn{reader, secured})
 }
 
+// bufferedConn is a connection of which the first bytes have been read into a buffer.
+type bufferedConn struct {
+	reader *bufio.Reader
+	net.Conn
+}
+
+func (c bufferedConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
+
 // track records an open connection for Close. It returns false if the server is closed.
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -13,8 +13,10 @@
 	"strings"
 	"time"
 
+	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/membudget"
+	"lycheehall.example/lycheehall/transport/targetdial"
 )
 
 // Errors of an attempt.
@@ -29,6 +31,9 @@
 	// ErrTargetExited is returned in addition to ErrOutcomeUnknown if the target's process has
 	// exited: its address refuses connections.
 	ErrTargetExited = errors.New("upstream: the target's process has exited")
+	// ErrPathLost is returned in addition to ErrOutcomeUnknown if this instance is partitioned from all
+	// targets: the failure says nothing about the target.
+	ErrPathLost = errors.New("upstream: the path to the target was lost")
 )
 
 // ReportedStatus is what a target reports about itself in the headers of a response.
@@ -115,10 +120,13 @@
 type Client struct {
 	pool  *Pool
 	names wire.Names
+	clock clock.Clock
 }
 
 // NewClient returns a client that uses the connections of the pool.
-func NewClient(pool *Pool, names wire.Names) *Client { return &Client{pool: pool, names: names} }
+func NewClient(pool *Pool, names wire.Names) *Client {
+	return &Client{pool: pool, names: names, clock: clock.System{}}
+}
 
 // Do makes one attempt. The time until the deadline of ctx is sent to the target.
 func (c *Client) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
@@ -133,13 +141,20 @@
 	// working on the request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{client: c, conn: conn, target: t, request: r}
+	c.pool.beginExchange(conn, r.Idempotent)
+	stopCheck := c.checkPathLater(conn, t)
 	resp, err := x.run(ctx)
+	stopCheck()
+	c.pool.endExchange(conn)
 	if !stop() || err != nil && !errors.Is(err, ErrNotExecuted) {
 		c.pool.discard(t.ID, conn)
 		if err == nil {
 			return resp, nil
 		}
-		if x.connectionLost && ctx.Err() == nil && c.pool.hasExited(ctx, t) {
+		switch {
+		case conn.Peer == "" && c.pool.dialer.Partitioned():
+			err = fmt.Errorf("%w: %w", ErrPathLost, err)
+		case x.connectionLost && ctx.Err() == nil && c.pool.hasExited(ctx, t):
 			err = fmt.Errorf("%w: %w", ErrTargetExited, err)
 		}
 		return nil, err
@@ -152,6 +167,21 @@
 	return resp, err
 }
 
+// silenceBeforeCheck is how long a target may take to respond before the path to it is checked, if no
+// other target responds either.
+const silenceBeforeCheck = 300 * time.Millisecond
+
+// checkPathLater checks the direct path to a target in a while, unless the returned function is called.
+func (c *Client) checkPathLater(conn *conn, t Target) (stop func() bool) {
+	if conn.Peer != "" {
+		return func() bool { return true }
+	}
+	start := c.clock.Now()
+	return time.AfterFunc(silenceBeforeCheck, func() {
+		c.pool.dialer.Check(targetdial.Target{ID: t.ID, Address: t.Address}, start)
+	}).Stop
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client  *Client
@@ -185,6 +215,7 @@
 		}
 		return nil, x.wrapOutcomeUnknown(err)
 	}
+	x.client.pool.dialer.RecordHeard(x.conn.Conn)
 	defer resp.Body.Close()
 	body, err := x.readBody(resp)
 	if errors.Is(err, membudget.ErrTooLarge) {
@@ -255,7 +286,7 @@
 	rest := net.Buffers{head[len(first):], body}
 	x.writeDone = make(chan error, 1)
 	go func() {
-		_, err := rest.WriteTo(x.conn.Conn)
+		_, err := rest.WriteTo(x.conn.Conn.Conn)
 		x.writeDone <- err
 	}()
 	return sent, nil
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -5,8 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,9 +18,6 @@
 )
 
 const (
-	// dialTimeout limits connecting to a target, which is a few milliseconds away. If the target's
-	// accept queue is full, TCP retries only after a second, too late for most requests.
-	dialTimeout = 350 * time.Millisecond
 	// exitCheckTimeout limits the check whether a target has exited. A caller whose request broke
 	// off waits for it, and a retry may still serve that caller.
 	exitCheckTimeout = 100 * time.Millisecond
@@ -30,13 +25,6 @@
 	// exitCheckInterval the time between them.
 	exitCheckAttempts = 3
 	exitCheckInterval = 20 * time.Millisecond
-	// acceptCheckTime is how long a new connection is watched before a request is sent on it, in
-	// addition to the time it took to connect. A target that has reached its number of connections,
-	// or whose queue is long, may accept a connection and reset it at once. A request already
-	// written on it would have an unknown outcome; one not yet written can go to another target.
-	// This happens after all instances have lost power: targets still count the connections of the
-	// previous processes.
-	acceptCheckTime = 2 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the target reports no timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleMargin is subtracted from the timeout that the target reports, so that no request is sent
@@ -58,7 +46,7 @@
 
 // conn is a connection to a target.
 type conn struct {
-	net.Conn
+	targetdial.Conn
 	reader *bufio.Reader
 	// reused says that the connection has carried a request before.
 	reused      bool
@@ -69,11 +57,11 @@
 // Pool caches connections to targets. It is safe for concurrent use.
 type Pool struct {
 	dialer *targetdial.Dialer
-	// acceptCheckTime is the constant of that name, except in tests.
-	acceptCheckTime time.Duration
 
 	mu      sync.Mutex
 	targets map[string]*connections
+	// repeatable are the direct connections that carry idempotent requests.
+	repeatable map[*conn]bool
 }
 
 type connections struct {
@@ -85,7 +73,36 @@
 
 // NewPool returns an empty pool whose connections the dialer makes.
 func NewPool(dialer *targetdial.Dialer) *Pool {
-	return &Pool{dialer: dialer, acceptCheckTime: acceptCheckTime, targets: map[string]*connections{}}
+	p := &Pool{dialer: dialer, targets: map[string]*connections{}, repeatable: map[*conn]bool{}}
+	dialer.OnPartition(p.abortRepeatable)
+	return p
+}
+
+// abortRepeatable ends the exchanges of idempotent requests on direct connections, on which nothing
+// arrives any more, so that the requests can be sent through other instances.
+func (p *Pool) abortRepeatable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.repeatable {
+		// An error means that the connection is closed already.
+		_ = c.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// beginExchange records that a connection carries a request.
+func (p *Pool) beginExchange(c *conn, idempotent bool) {
+	if c.Peer != "" || !idempotent {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeatable[c] = true
+}
+
+func (p *Pool) endExchange(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.repeatable, c)
 }
 
 func (p *Pool) target(id string) *connections {
@@ -108,7 +125,7 @@
 		c := t.idle[len(t.idle)-1]
 		t.idle = t.idle[:len(t.idle)-1]
 		age := time.Since(c.idleSince)
-		if age < c.idleTimeout && !(avoidIdle && age > maxIdleWhileAvoiding) && c.reader.Buffered() == 0 && wire.Reusable(c.Conn) {
+		if age < c.idleTimeout && !(avoidIdle && age > maxIdleWhileAvoiding) && c.reader.Buffered() == 0 && p.dialer.Usable(id, c.Conn) && wire.Reusable(c.Conn.Conn) {
 			return c
 		}
 		connectionsStale.Inc()
@@ -129,11 +146,7 @@
 	}
 	t.open++
 	p.mu.Unlock()
-	start := time.Now()
-	raw, err := p.dialer.Dial(ctx, targetdial.Target{ID: id, Address: address}, dialTimeout)
-	if err == nil {
-		err = checkAccepted(raw, time.Since(start)+p.acceptCheckTime)
-	}
+	raw, err := p.dialer.Dial(ctx, targetdial.Target{ID: id, Address: address})
 	if err != nil {
 		p.countClosed(id)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -171,25 +184,6 @@
 	}
 }
 
-// checkAccepted watches a new connection for a while. It closes the connection and returns an error
-// if the target closes it or sends anything.
-func checkAccepted(conn net.Conn, wait time.Duration) error {
-	err := conn.SetReadDeadline(time.Now().Add(wait))
-	if err == nil {
-		var b [1]byte
-		if _, err = conn.Read(b[:]); err == nil {
-			err = errors.New("target sent data before any request")
-		}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = conn.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		conn.Close()
-	}
-	return err
-}
-
 func (p *Pool) countClosed(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -218,7 +212,7 @@
 	if d, ok := parseKeepAlive(keepAlive); ok {
 		c.idleTimeout = d
 	}
-	if c.idleTimeout <= 0 {
+	if c.idleTimeout <= 0 || !p.dialer.Usable(id, c.Conn) {
 		p.discard(id, c)
 		return
 	}
@@ -256,7 +250,7 @@
 	for id, t := range p.targets {
 		kept := t.idle[:0]
 		for _, c := range t.idle {
-			if listed(id) && now.Sub(c.idleSince) < c.idleTimeout {
+			if listed(id) && now.Sub(c.idleSince) < c.idleTimeout && p.dialer.Usable(id, c.Conn) {
 				kept = append(kept, c)
 				continue
 			}
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/targetdial"
 )
@@ -93,7 +95,9 @@
 	return &Request{ID: id, Method: "POST", URI: "/x", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte(body)}
 }
 
-func newPool() *Pool { return NewPool(targetdial.New(nil, func(string, ...any) {})) }
+func newPool() *Pool {
+	return NewPool(targetdial.New(targetdial.Config{Clock: clock.System{}, Board: view.NewBoard(clock.System{}), Log: func(string, ...any) {}}))
+}
 
 func newClient() *Client { return NewClient(newPool(), names) }
 
@@ -149,8 +153,9 @@
 				closeWithReset(conn)
 			}
 		}()
-		c := newClient()
-		c.pool.acceptCheckTime = 10 * time.Second
+		c := NewClient(NewPool(targetdial.New(targetdial.Config{
+			AcceptCheckTime: 10 * time.Second, Clock: clock.System{}, Board: view.NewBoard(clock.System{}), Log: func(string, ...any) {},
+		})), names)
 		start := time.Now()
 		_, err = c.Do(within(20*time.Second), Target{ID: "t1", Name: "t1", Address: l.Addr().String()}, post("1", "b"))
 		Expect(err).To(MatchError(ErrNotSent))
@@ -325,7 +330,7 @@
 		p.recordLostOnIdle("t1")
 		client, server := net.Pipe()
 		defer server.Close()
-		p.target("t1").idle = []*conn{{Conn: client, reader: bufio.NewReader(client), idleSince: time.Now().Add(-time.Second), idleTimeout: time.Minute}}
+		p.target("t1").idle = []*conn{{Conn: targetdial.Conn{Conn: client}, reader: bufio.NewReader(client), idleSince: time.Now().Add(-time.Second), idleTimeout: time.Minute}}
 		p.target("t1").open = 1
 		Expect(p.take("t1", true)).To(BeNil())
 	})
