Do not eject targets that only a partitioned instance cannot reach

A keeper ejects a target for all callers when one instance reports it as unreachable, or after several failures. While some instances were partitioned from all targets, their reports took healthy targets from the others: at seven instances with sound links about 240 of 1,000 requests were refused while targets stood idle.

A connection that could not be made counts against the target only if another instance failed, too, and a connection that broke while the instance was partitioned does not count. The new table failed for these two cases before.

--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -69,6 +69,8 @@
 		return permit.ResultServed
 	case errors.Is(err, upstream.ErrNotExecuted):
 		return permit.ResultNotExecuted
+	case errors.Is(err, targetdial.ErrUnconfirmed), errors.Is(err, upstream.ErrPathLost):
+		return permit.ResultDropped
 	case errors.Is(err, upstream.ErrNotSent) && ctx.Err() == nil:
 		return permit.ResultUnreachable
 	case ctx.Err() != nil:
