Send orders through other instances where the direct path is broken

When the leader was partitioned from all targets, keys lapsed for the callers of all instances: it could not renew grants, all holds expired after some seconds, and it went on renewing its lease, so that no other instance took over.

Orders use the same dialer as requests. A connection through another instance is as good for the identity of a target as a direct one: it leads to one connection of the target and ends with it. The other instance drops an order that it could not deliver in time, also after a pause. When the direct path works again, a direct connection is opened beside the tunnel and used once it is old enough for renewals, so that the return causes no new grants.

--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -84,11 +84,13 @@
 	busy []*conn
 	// changed is closed and replaced when a busy connection becomes idle or is closed.
 	changed chan struct{}
+	// replacing says that a direct connection is being made beside one through another instance.
+	replacing bool
 }
 
 // conn is a connection to a target.
 type conn struct {
-	net.Conn
+	targetdial.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
 	// openedAt is a time at which the connection was already open.
@@ -127,6 +129,7 @@
 		c.removeClosed(o.Target, cn)
 		return assign.OutcomeUnknown, "", sentAt
 	}
+	c.replaceTunnel(ctx, o, cn)
 	if resp.Close {
 		cn.Close()
 		c.removeClosed(o.Target, cn)
@@ -173,7 +176,7 @@
 // closeWithReset closes a connection with a reset. Parts of an order that are delayed by a network
 // partition are then dropped and do not arrive when the partition ends.
 func closeWithReset(cn *conn) {
-	if tcp, ok := cn.Conn.(*net.TCPConn); ok {
+	if tcp, ok := cn.Conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	cn.Close()
@@ -263,7 +266,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, o assign.Order) (*conn, error) {
-	raw, err := c.dialer.DialDirect(ctx, targetdial.Target{ID: o.Target, Address: o.Address})
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := c.dialer.Dial(ctx, dialTarget(o))
 	if err != nil {
 		return nil, fmt.Errorf("orders: connect to target: %w", err)
 	}
@@ -275,6 +280,51 @@
 	return cn, nil
 }
 
+// dialTarget returns the target of an order as the dialer needs it. An order that counts as failed must
+// not be delivered later by another instance.
+func dialTarget(o assign.Order) targetdial.Target {
+	return targetdial.Target{ID: o.Target, Address: o.Address, MaxDelay: grantTimeout}
+}
+
+// usable reports whether a connection should be used. One through another instance is used on after the
+// direct path works again, because renewals require a connection that was open before.
+func (c *Client) usable(cn *conn) bool {
+	if cn.Peer == "" {
+		return !c.dialer.Partitioned()
+	}
+	return c.dialer.PeerListed(cn.Conn)
+}
+
+// replaceTunnel opens a direct connection beside one through another instance when the direct path works
+// again. It is used once it is old enough for renewals.
+func (c *Client) replaceTunnel(ctx context.Context, o assign.Order, cn *conn) {
+	if cn.Peer == "" || c.dialer.ThroughPeer(o.Target) || !c.beginReplacing(o.Target) {
+		return
+	}
+	go func() {
+		direct, err := c.dial(ctx, o)
+		c.mu.Lock()
+		c.target(o.Target).replacing = false
+		c.mu.Unlock()
+		if err == nil {
+			c.put(o.Target, direct)
+		}
+	}()
+}
+
+// beginReplacing reports whether the target has no direct connection yet, and none is being made.
+func (c *Client) beginReplacing(target string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.target(target)
+	isDirect := func(cn *conn) bool { return cn.Peer == "" }
+	if t.replacing || slices.ContainsFunc(t.idle, isDirect) || slices.ContainsFunc(t.busy, isDirect) {
+		return false
+	}
+	t.replacing = true
+	return true
+}
+
 // target returns the connections to a target. The caller must hold the lock.
 func (c *Client) target(id string) *connections {
 	t := c.targets[id]
@@ -295,7 +345,7 @@
 	t := c.target(o.Target)
 	var usable []*conn
 	for _, cn := range t.idle {
-		if time.Since(cn.idleSince) < idleTimeout && cn.reader.Buffered() == 0 && wire.Reusable(cn.Conn) {
+		if time.Since(cn.idleSince) < idleTimeout && cn.reader.Buffered() == 0 && c.usable(cn) && wire.Reusable(cn.Conn.Conn) {
 			usable = append(usable, cn)
 			continue
 		}
--- a/transport/targetdial/dialer.go
+++ b/transport/targetdial/dialer.go
@@ -143,6 +143,9 @@
 	return false
 }
 
+// ThroughPeer reports whether connections to the target are made by other instances.
+func (d *Dialer) ThroughPeer(target string) bool { return d.tracker.ThroughPeer(target) }
+
 // Partitioned reports whether this instance is partitioned from all targets.
 func (d *Dialer) Partitioned() bool { return d.tracker.Partitioned() }
 
@@ -184,15 +187,6 @@
 	return nil, peers.TargetUnreachable
 }
 
-// DialDirect makes a direct connection, whatever is known about the path.
-func (d *Dialer) DialDirect(ctx context.Context, t Target) (net.Conn, error) {
-	conn, err := d.dialDirect(ctx, t)
-	if err != nil {
-		return nil, notConnected(err)
-	}
-	return conn, nil
-}
-
 // dialDirect makes a direct connection.
 func (d *Dialer) dialDirect(ctx context.Context, t Target) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
