Let the settings name the local address of connections to targets

On a machine with several addresses the system chose the source of connections to targets. A target, or a proxy in front of it, can now tell the instances of one machine apart. Invalid addresses are refused with the field's name.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -180,7 +180,7 @@
 	i.memoryAuto.Store(i.settings.Memory.Mode == contention.ModeAuto)
 	i.board = view.NewBoard(i.clock)
 	i.dialer = targetdial.New(targetdial.Config{
-		Self: i.self, Clock: i.clock, Dial: i.platform.DialTarget, Tunnels: i.peerClient, Board: i.board, Log: i.log.Event,
+		Self: i.self, Clock: i.clock, Dial: i.dialTarget(), Tunnels: i.peerClient, Board: i.board, Log: i.log.Event,
 	})
 	i.pool = upstream.NewPool(i.dialer)
 	collector := demand.NewCollector()
@@ -217,6 +217,15 @@
 	i.admin = &http.Server{Handler: admin.Handler(adminBackend{i}, i.settings.OperatorToken), ReadHeaderTimeout: readHeaderTimeout}
 }
 
+// dialTarget returns the function that connects to targets; nil for the default one.
+func (i *Instance) dialTarget() targetdial.DialFunc {
+	if i.platform.DialTarget != nil || i.settings.TargetSource == "" {
+		return i.platform.DialTarget
+	}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(i.settings.TargetSource)}}
+	return dialer.DialContext
+}
+
 // serveReady answers the load balancer's readiness check.
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if ready, _ := (adminBackend{i}).Ready(); !ready {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 	// Seeds are the peer addresses of a few instances to contact at the start. If there are none, the
 	// instance reads from the store instead.
 	Seeds []string `toml:"seeds" comment:"Peer addresses of a few instances that are asked at the start, as IP:port; none: the store is read instead."`
+	// TargetSource is the local IP address of connections to targets. If it is empty, the system chooses.
+	TargetSource string `toml:"target_source" comment:"Local IP address of connections to targets, where the machine has several; empty: the system chooses."`
 	// Admin is the address for operators and metrics.
 	Admin string `toml:"admin" comment:"Address for operators and metrics, as IP:port."`
 	// Platform is the address of the platform's store.
@@ -209,6 +211,9 @@
 			invalid("seeds", "%v", err)
 		}
 	}
+	if s.TargetSource != "" && net.ParseIP(s.TargetSource) == nil {
+		invalid("target_source", "is %q; write an IP address", s.TargetSource)
+	}
 	if time.Duration(s.Grace) < time.Second {
 		invalid("grace", "is %v; write at least 1s", time.Duration(s.Grace))
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,7 @@
 		func(text, want string) { Expect(load(secrets + text)).To(MatchError(ContainSubstring(want))) },
 		Entry("unknown field", "colour = 1\n", "s.toml:3: colour: unknown field"),
 		Entry("host name", `peer = "host:1"`, `peer: is "host:1"; write an IP address`),
+		Entry("host name as source", `target_source = "host"`, `target_source: is "host"; write an IP address`),
 		Entry("no port", `listen = "127.0.0.1"`, "listen: "),
 		Entry("bad duration", `grace = "fast"`, "write a duration"),
 		Entry("negative duration", `grace = "-1s"`, "grace: is -1s"),
