Let the soak partition instances from all targets

Instances connect to targets from addresses of their own, so that the proxies in front of targets can cut single instances: their new connections are reset, and their open ones are reset, go silent or live on. Partitions of single instances and of whole data centres overlap with all other faults. A run with only partitions compares first tries at partitioned instances with those at the others.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -264,8 +264,8 @@
 	proxy.SetTarget(d.storeAddress)
 	name := fmt.Sprintf("instance%d", i+1)
 	settings := filepath.Join(d.dir, name+".toml")
-	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\n[memory]\nlimit_mb = %d\n",
-		name, dataCentreName(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address(), memoryMB)
+	text := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer = %q\nadmin = %q\nreadiness = %q\nplatform = %q\ntarget_source = %q\n[memory]\nlimit_mb = %d\n",
+		name, dataCentreName(i), addresses[0], addresses[1], addresses[2], addresses[3], proxy.Address(), targetSource(i), memoryMB)
 	// Every third instance serves connections without pipelining, as by default.
 	if i%3 != 2 {
 		text += "[connections]\npipeline_depth = 8\n"
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -37,7 +37,10 @@
 	fault  ProxyFault
 	// changed is closed and replaced when the fault changes.
 	changed chan struct{}
-	conns   map[net.Conn]bool
+	// conns are the open connections, with the address that the caller's side comes from.
+	conns map[net.Conn]string
+	// cut has the addresses of callers whose new connections are reset, with the fault of their open ones.
+	cut map[string]ProxyFault
 }
 
 // NewProxy starts a proxy without a fault on a free port of the loopback interface.
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("soak: proxy: listen: %w", err)
 	}
-	p := &Proxy{listener: l, fault: NoFault, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, fault: NoFault, changed: make(chan struct{}), conns: map[net.Conn]string{}, cut: map[string]ProxyFault{}}
 	go p.serve()
 	return p, nil
 }
@@ -76,6 +79,30 @@
 	}
 }
 
+// CutSource resets new connections from an IP address, and sets the fault of its open ones.
+func (p *Proxy) CutSource(source string, open ProxyFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[source] = open
+	close(p.changed)
+	p.changed = make(chan struct{})
+	for c, from := range p.conns {
+		if open == Reset && from == source {
+			closeWithReset(c)
+			delete(p.conns, c)
+		}
+	}
+}
+
+// HealSource ends the effect of CutSource.
+func (p *Proxy) HealSource(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.cut, source)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -100,17 +127,38 @@
 	}
 }
 
-// state returns the fault, the target address, and a channel that is closed when the fault changes.
-func (p *Proxy) state() (ProxyFault, string, <-chan struct{}) {
+// state returns the fault of open connections from an address, and a channel that is closed when faults
+// change.
+func (p *Proxy) state(source string) (ProxyFault, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.target, p.changed
+	if open, cut := p.cut[source]; cut && open != NoFault {
+		return open, p.changed
+	}
+	return p.fault, p.changed
+}
+
+// accepts returns the target address, and whether a new connection from an address is accepted.
+func (p *Proxy) accepts(source string) (target string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, cut := p.cut[source]
+	return p.target, !cut && p.fault != Reset
+}
+
+// sourceOf returns the IP address of the caller's side of a connection.
+func sourceOf(caller net.Conn) string {
+	if tcp, ok := caller.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return ""
 }
 
 // forward connects to the target and forwards both directions until they end.
 func (p *Proxy) forward(caller net.Conn) {
-	fault, target, _ := p.state()
-	if fault == Reset {
+	source := sourceOf(caller)
+	target, ok := p.accepts(source)
+	if !ok {
 		closeWithReset(caller)
 		return
 	}
@@ -120,11 +168,11 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[caller], p.conns[server] = true, true
+	p.conns[caller], p.conns[server] = source, source
 	p.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.forwardDirection(server, caller, false) })
-	directions.Go(func() { p.forwardDirection(caller, server, true) })
+	directions.Go(func() { p.forwardDirection(source, server, caller, false) })
+	directions.Go(func() { p.forwardDirection(source, caller, server, true) })
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, caller)
@@ -134,11 +182,11 @@
 
 // forwardDirection forwards one direction until it ends, and then closes or resets the other side in
 // the same way. fromServer says which direction it is.
-func (p *Proxy) forwardDirection(to, from net.Conn, fromServer bool) {
+func (p *Proxy) forwardDirection(source string, to, from net.Conn, fromServer bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		p.awaitForwarding(fromServer)
+		p.awaitForwarding(source, fromServer)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				closeWithReset(from)
@@ -159,9 +207,9 @@
 }
 
 // awaitForwarding waits until the fault allows data of a direction to be forwarded.
-func (p *Proxy) awaitForwarding(fromServer bool) {
+func (p *Proxy) awaitForwarding(source string, fromServer bool) {
 	for {
-		fault, _, changed := p.state()
+		fault, changed := p.state(source)
 		switch {
 		case fault == Delayed:
 			time.Sleep(proxyDelay)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,9 @@
 type Options struct {
 	Seed uint64
 	DeploymentOptions
+	// OnlyPartitions injects no fault but partitions of instances from all targets. How callers are served
+	// meanwhile is checked only then: other faults have effects of their own.
+	OnlyPartitions bool
 	// Length is how long faults are injected.
 	Length time.Duration
 	// ProgramDir is the directory of the built programs. Dir is the directory for logs and records.
@@ -62,6 +65,7 @@
 	disconnected intervals
 	// evacuations has the evacuations that operators have requested.
 	evacuations requestedEvacuations
+	partitions  partitions
 }
 
 // Run runs one seed and returns what it has found. An error means that the run itself failed.
@@ -86,12 +90,17 @@
 		return nil, err
 	}
 	s.changes = changes
+	if o.OnlyPartitions {
+		return s.runPartitions()
+	}
+	stopPartitions := s.startPartitions()
 	stopLeaving := s.startLeaving()
 	stopEvacuations := s.startEvacuations()
 	stopLimits := s.startLimits()
 	stopStoreRestores := s.startStoreRestores()
 	s.injectFaults()
 	s.unfinishedFaults.Wait()
+	stopPartitions()
 	stopStoreRestores()
 	stopLimits()
 	stopLeaving()
@@ -116,6 +125,32 @@
 	return result, nil
 }
 
+// runPartitions injects partitions of instances from all targets, and returns the result of the run.
+func (s *soak) runPartitions() (*Result, error) {
+	start := time.Now()
+	stopPartitions := s.startPartitions()
+	time.Sleep(s.Length)
+	stopPartitions()
+	period := interval{start, time.Now()}
+	result := &Result{Violations: s.changes.Stop()}
+	if err := s.awaitServed("recovery"); err != nil {
+		result.Violations = append(result.Violations, err.Error())
+	}
+	result.Counts = s.callers.Count()
+	results := s.callers.Finish()
+	runs, err := s.deployment.Runs()
+	if err != nil {
+		return nil, err
+	}
+	result.Violations = append(result.Violations, Check(results, runs)...)
+	counts := countDuringPartitions(results, period, &s.partitions, s.deployment.callerAddresses)
+	s.Progress("seed %d: %v", s.Seed, counts)
+	if counts.violated() {
+		result.Violations = append(result.Violations, counts.String())
+	}
+	return result, nil
+}
+
 // runInBackground runs a function in a goroutine. The returned function closes stop and waits until
 // the goroutine has ended.
 func runInBackground(run func(stop <-chan struct{})) (finish func()) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,6 +65,17 @@
 		Expect(result.Counts[Answered]).To(BeNumerically(">", 200))
 	})
 
+	// Guards against callers that are not served because their instances are partitioned from all targets.
+	It("finds callers served through all partitions of instances from targets", func() {
+		result, err := Run(Options{
+			Seed: 7004, DeploymentOptions: DeploymentOptions{Instances: 5, Targets: 3}, OnlyPartitions: true, Length: 15 * time.Second,
+			ProgramDir: buildPrograms(), Dir: GinkgoT().TempDir(),
+			Progress: func(format string, args ...any) { GinkgoWriter.Printf(format+"\n", args...) },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Violations).To(BeEmpty())
+	})
+
 	// Guards against requests that were refused for want of memory and ran, and against instances that
 	// do not release the memory of requests that end in a fault.
 	It("finds no violation with little memory for callers that read slowly", func() {
@@ -165,6 +176,40 @@
 	})
 })
 
+var _ = Describe("the check of partitions", func() {
+	// results are requests at two instances, of which the first is partitioned, each some seconds after
+	// the start.
+	count := func(start time.Time, servedCut, failedCut, servedOther, failedOther int) partitionCounts {
+		p := &partitions{periods: map[int][]interval{0: {{start, start.Add(10 * time.Second)}}}}
+		results := map[string]CallResult{}
+		add := func(instance string, after time.Duration, outcome Outcome, n int) {
+			for range n {
+				results[fmt.Sprint(len(results))] = CallResult{Outcome: outcome, Instance: instance, Sent: start.Add(after)}
+			}
+		}
+		add("a", time.Second, Unknown, 500)
+		add("a", 11*time.Second, Unknown, 500)
+		add("b", -time.Second, Unknown, 500)
+		add("a", 5*time.Second, Answered, servedCut)
+		add("a", 5*time.Second, NotExecuted, failedCut)
+		add("b", 5*time.Second, Answered, servedOther)
+		add("b", 5*time.Second, NotExecuted, failedOther)
+		return countDuringPartitions(results, interval{start, start.Add(time.Minute)}, p, []string{"a", "b"})
+	}
+
+	DescribeTable("compares instances that have been partitioned for a while with the others",
+		func(servedCut, failedCut, servedOther, failedOther int, violated bool) {
+			c := count(time.Now(), servedCut, failedCut, servedOther, failedOther)
+			Expect(c).To(Equal(partitionCounts{servedCut, servedCut + failedCut, servedOther, servedOther + failedOther}))
+			Expect(c.violated()).To(Equal(violated))
+		},
+		Entry("served as often", 300, 100, 300, 100, false),
+		Entry("served half as often", 150, 150, 300, 0, true),
+		Entry("few failures", 2, 10, 300, 0, false),
+		Entry("one more", 2, 11, 300, 0, true),
+	)
+})
+
 var _ = Describe("the check of requests", func() {
 	run := func(id string, key int, fence uint64, startedAt int64) standin.Record {
 		return standin.Record{Request: id, Target: "t", Key: key, Fence: fence, StartedAt: startedAt}
