Keep working connections to a target that refuses new ones, and ask fewer peers

Open connections are given up only where attempts got no answer. A peer says whether it lacks the target or cannot connect at all. Peers are chosen when one is needed, from the best few of each kind.

--- a/coordination/reach/doc.go
+++ b/coordination/reach/doc.go
@@ -6,8 +6,8 @@
 // fault. Two broken paths while nothing arrives from any target directly mean that this instance is
 // partitioned from all targets.
 //
-// Broken paths are tested by direct connections that carry no request. A path is used again after a
-// test has succeeded, so that no request pays for finding out.
+// Broken paths are probed by direct connections that carry no request. A path is used again after a
+// probe has succeeded, so that no request pays for finding out.
 //
 // No other lock is acquired while a Tracker's lock is held.
 package reach
--- a/coordination/reach/peers.go
+++ b/coordination/reach/peers.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxPeers is the largest number of instances that are asked to connect to a target.
-	maxPeers = 4
+	// MaxPeers is the largest number of instances that are asked to connect to a target.
+	MaxPeers = 4
 	// unusablePeriod is how long an instance is not asked again that does not answer or does not reach
 	// targets itself.
 	unusablePeriod = time.Second
@@ -29,28 +29,46 @@
 // Instances that were found unusable are left out. The order differs by target, so that the work is
 // spread.
 func (t *Tracker) Peers(self view.Instance, target view.Target, instances []view.Instance) []view.Instance {
-	var near, far []view.Instance
+	duty := "connect " + self.ID + " to " + target.ID
+	var near, far ranking
 	for _, i := range instances {
 		switch {
 		case i.ID == self.ID || t.unusable(i.ID):
 		case i.DataCentre == self.DataCentre || i.DataCentre == target.DataCentre:
-			near = append(near, i)
+			near.add(i, i.Score(duty))
 		default:
-			far = append(far, i)
+			far.add(i, i.Score(duty))
 		}
 	}
-	duty := "connect " + self.ID + " to " + target.ID
-	byScore := func(a, b view.Instance) int { return cmp.Compare(b.Score(duty), a.Score(duty)) }
-	slices.SortFunc(near, byScore)
-	slices.SortFunc(far, byScore)
-	peers := make([]view.Instance, 0, maxPeers)
-	for n := 0; len(peers) < maxPeers && (n < len(near) || n < len(far)); n++ {
-		peers = append(peers, near[min(n, len(near)):min(n+1, len(near))]...)
-		peers = append(peers, far[min(n, len(far)):min(n+1, len(far))]...)
+	peers := make([]view.Instance, 0, MaxPeers)
+	for n := 0; len(peers) < MaxPeers && (n < len(near.best) || n < len(far.best)); n++ {
+		if n < len(near.best) {
+			peers = append(peers, near.best[n].Instance)
+		}
+		if n < len(far.best) && len(peers) < MaxPeers {
+			peers = append(peers, far.best[n].Instance)
+		}
 	}
 	return peers
 }
 
+// ranking holds the instances with the highest scores, at most MaxPeers, the best first.
+type ranking struct{ best []rankedInstance }
+
+type rankedInstance struct {
+	view.Instance
+	score float64
+}
+
+func (r *ranking) add(i view.Instance, score float64) {
+	at, _ := slices.BinarySearchFunc(r.best, score, func(e rankedInstance, score float64) int { return cmp.Compare(score, e.score) })
+	if at == MaxPeers {
+		return
+	}
+	r.best = slices.Insert(r.best, at, rankedInstance{i, score})
+	r.best = r.best[:min(len(r.best), MaxPeers)]
+}
+
 // unusable reports whether an instance was found unusable a short time ago.
 func (t *Tracker) unusable(peer string) bool {
 	t.mu.Lock()
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -38,7 +38,7 @@
 	breakPath := func(target string) bool {
 		begun := c.now
 		c.advance(350 * time.Millisecond)
-		return t.RecordBroken(target, begun)
+		return t.RecordBroken(target, begun, true)
 	}
 
 	It("sends everything through peers after two broken paths without a sign of any target", func() {
@@ -60,6 +60,17 @@
 		Expect(t.ThroughPeer("t3")).To(BeFalse())
 	})
 
+	// Guards against requests on connections that are known to be silent, and against closing those that
+	// work where a target only refuses new ones.
+	It("keeps open connections unless the target did not answer", func() {
+		t.RecordBroken("t1", c.now, false)
+		t.RecordHeard()
+		t.RecordBroken("t2", c.now, true)
+		Expect(t.DirectUsable("t1")).To(BeTrue())
+		Expect(t.DirectUsable("t2")).To(BeFalse())
+		Expect(t.DirectUsable("t3")).To(BeTrue())
+	})
+
 	It("does not combine broken paths that were found far apart", func() {
 		breakPath("t1")
 		c.advance(evidencePeriod)
@@ -70,7 +81,7 @@
 	It("does not count targets that no instance reaches", func() {
 		for n := range 10 {
 			t.RecordUnreachable(fmt.Sprint("t", n))
-			t.RecordFailed(fmt.Sprint("t", n))
+			t.RecordFailed()
 		}
 		Expect(t.Partitioned()).To(BeFalse())
 		Expect(t.Route("t1")).To(Equal(Route{Known: true}))
@@ -82,31 +93,31 @@
 		breakPath("t1")
 		breakPath("t2")
 		Expect(t.RecordReached("t3")).To(BeFalse())
-		t.RecordFailed("t4")
+		t.RecordFailed()
 		Expect(t.RecordReached("t3")).To(BeFalse())
 		Expect(t.RecordReached("t5")).To(BeTrue())
 		Expect(t.ThroughPeer("t3")).To(BeFalse())
-		Expect(t.ThroughPeer("t1")).To(BeTrue(), "its path has not been tested")
+		Expect(t.ThroughPeer("t1")).To(BeTrue(), "its path has not been probed")
 	})
 
 	// Guards against a wave of connections to all targets during a partition, and after its end.
-	It("limits tests to one in a testInterval during a partition, and one for each path after it", func() {
+	It("limits probes to one in a probeInterval during a partition, and one for each path after it", func() {
 		breakPath("t1")
 		breakPath("t2")
-		tests := 0
+		probes := 0
 		for range 100 {
 			c.advance(10 * time.Millisecond)
-			Expect(t.Route("t1").Test).To(BeFalse())
-			if t.TestDue() {
-				tests++
-				t.RecordFailed("t1")
+			Expect(t.Route("t1").Probe).To(BeFalse())
+			if t.ProbeDue() {
+				probes++
+				t.RecordFailed()
 			}
 		}
-		Expect(tests).To(BeNumerically("~", 2, 1))
+		Expect(probes).To(BeNumerically("~", 2, 1))
 		t.RecordReached("t3")
 		Expect(t.RecordReached("t3")).To(BeTrue())
-		Expect(t.TestDue()).To(BeFalse())
-		Expect(t.Route("t1")).To(Equal(Route{ThroughPeer: true, Test: true}))
+		Expect(t.ProbeDue()).To(BeFalse())
+		Expect(t.Route("t1")).To(Equal(Route{ThroughPeer: true, Probe: true}))
 		Expect(t.Route("t1")).To(Equal(Route{ThroughPeer: true}))
 		t.RecordReached("t1")
 		Expect(t.Route("t1")).To(Equal(Route{}))
@@ -142,7 +153,7 @@
 		It("alternate between near and far data centres, and leave out itself and unusable ones", func() {
 			all := instances(12)
 			peers := t.Peers(all[0], view.Target{ID: "t1", DataCentre: "dc1"}, all)
-			Expect(peers).To(HaveLen(maxPeers))
+			Expect(peers).To(HaveLen(MaxPeers))
 			for n, p := range peers {
 				near := p.DataCentre == "dc0" || p.DataCentre == "dc1"
 				Expect(near).To(Equal(n%2 == 0))
--- a/coordination/reach/tracker.go
+++ b/coordination/reach/tracker.go
@@ -15,13 +15,13 @@
 	brokenPathsOfPartition = 2
 	// reachedToEnd is the number of successful direct connections in a row that end a partition.
 	reachedToEnd = 2
-	// testInterval is the time between two tests of the same broken path, and between two tests during
-	// a partition.
-	testInterval = 500 * time.Millisecond
+	// probeInterval is the time between two probes of the same broken path, and between two probes
+	// during a partition.
+	probeInterval = 500 * time.Millisecond
 	// unreachablePeriod is how long no other instance is asked about a target that none could reach.
 	unreachablePeriod = 300 * time.Millisecond
 	// checkInterval is the shortest time between two checks of targets that do not respond.
-	checkInterval = 50 * time.Millisecond
+	checkInterval = 100 * time.Millisecond
 )
 
 // Tracker holds what the connections of this instance show about its paths to targets. It is safe for
@@ -37,7 +37,7 @@
 	// heardAt is when anything last arrived from a target directly.
 	heardAt     clock.Instant
 	checkedAt   clock.Instant
-	testedAt    clock.Instant
+	probedAt    clock.Instant
 	partitioned bool
 	reached     int
 	peers       map[string]clock.Instant
@@ -47,14 +47,16 @@
 type brokenPath struct {
 	// attemptAt is when the direct attempt began whose failure showed it; foundAt is when it failed.
 	attemptAt, foundAt clock.Instant
-	testedAt           clock.Instant
+	probedAt           clock.Instant
+	// silent says that the attempt got no answer. Open connections have then gone silent, too.
+	silent bool
 }
 
 // NewTracker returns a Tracker for which all paths work.
 func NewTracker(c clock.Clock) *Tracker {
 	return &Tracker{
 		clock: c, broken: map[string]*brokenPath{}, unreachableUntil: map[string]clock.Instant{}, peers: map[string]clock.Instant{},
-		heardAt: clock.Never, checkedAt: clock.Never, testedAt: clock.Never,
+		heardAt: clock.Never, checkedAt: clock.Never, probedAt: clock.Never,
 	}
 }
 
@@ -62,22 +64,22 @@
 type Route struct {
 	// ThroughPeer says that the connection should be made by another instance.
 	ThroughPeer bool
-	// Test says that the direct path should be tested now.
-	Test bool
+	// Probe says that the direct path should be probed now.
+	Probe bool
 	// Known says that no other instance needs to be asked if the direct attempt fails: none could reach
 	// the target just before.
 	Known bool
 }
 
-// Route returns the way to a target. If it says that the path should be tested, the caller must do so.
+// Route returns the way to a target. If it says that the path should be probed, the caller must do so.
 func (t *Tracker) Route(target string) Route {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	r := Route{ThroughPeer: t.throughPeer(target), Known: now < t.unreachableUntil[target]}
-	if b := t.broken[target]; b != nil && !t.partitioned && now.Sub(b.testedAt) >= testInterval {
-		b.testedAt = now
-		r.Test = true
+	if b := t.broken[target]; b != nil && !t.partitioned && now.Sub(b.probedAt) >= probeInterval {
+		b.probedAt = now
+		r.Probe = true
 	}
 	return r
 }
@@ -93,6 +95,14 @@
 	return t.partitioned || t.broken[target] != nil
 }
 
+// DirectUsable reports whether open direct connections to the target should be used.
+func (t *Tracker) DirectUsable(target string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.broken[target]
+	return !t.partitioned && (b == nil || !b.silent)
+}
+
 // Partitioned reports whether this instance is partitioned from all targets.
 func (t *Tracker) Partitioned() bool {
 	t.mu.Lock()
@@ -100,16 +110,16 @@
 	return t.partitioned
 }
 
-// TestDue reports whether, during a partition, the path to some target should be tested now. After a
-// test has succeeded the next one is due at once.
-func (t *Tracker) TestDue() bool {
+// ProbeDue reports whether, during a partition, the path to some target should be probed now. After a
+// probe has succeeded the next one is due at once.
+func (t *Tracker) ProbeDue() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	if !t.partitioned || t.reached == 0 && now.Sub(t.testedAt) < testInterval {
+	if !t.partitioned || t.reached == 0 && now.Sub(t.probedAt) < probeInterval {
 		return false
 	}
-	t.testedAt = now
+	t.probedAt = now
 	return true
 }
 
@@ -150,14 +160,15 @@
 }
 
 // RecordBroken records that a direct attempt, begun at the given time, has failed, while another
-// instance reached the target. It reports whether that begins a partition.
-func (t *Tracker) RecordBroken(target string, attemptAt clock.Instant) (begun bool) {
+// instance reached the target. silent says that it got no answer. It reports whether that begins a
+// partition.
+func (t *Tracker) RecordBroken(target string, attemptAt clock.Instant, silent bool) (begun bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.reached = 0
 	delete(t.unreachableUntil, target)
-	t.broken[target] = &brokenPath{attemptAt: attemptAt, foundAt: now, testedAt: now}
+	t.broken[target] = &brokenPath{attemptAt: attemptAt, foundAt: now, probedAt: now, silent: silent}
 	if t.partitioned {
 		return false
 	}
@@ -174,7 +185,7 @@
 
 // RecordFailed records that a direct attempt has failed and no other instance could tell whether the
 // target is reachable.
-func (t *Tracker) RecordFailed(string) {
+func (t *Tracker) RecordFailed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reached = 0
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -362,6 +362,7 @@
 	i.admin.Close()
 	i.peerServer.Close()
 	i.peerClient.Close()
+	i.dialer.Close()
 	ended := make(chan struct{})
 	go func() {
 		i.background.Wait()
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -288,9 +288,9 @@
 
 // usable reports whether a connection should be used. One through another instance is used on after the
 // direct path works again, because renewals require a connection that was open before.
-func (c *Client) usable(cn *conn) bool {
+func (c *Client) usable(target string, cn *conn) bool {
 	if cn.Peer == "" {
-		return !c.dialer.Partitioned()
+		return c.dialer.Usable(target, cn.Conn)
 	}
 	return c.dialer.PeerListed(cn.Conn)
 }
@@ -345,7 +345,7 @@
 	t := c.target(o.Target)
 	var usable []*conn
 	for _, cn := range t.idle {
-		if time.Since(cn.idleSince) < idleTimeout && cn.reader.Buffered() == 0 && c.usable(cn) && wire.Reusable(cn.Conn.Conn) {
+		if time.Since(cn.idleSince) < idleTimeout && cn.reader.Buffered() == 0 && c.usable(o.Target, cn) && wire.Reusable(cn.Conn.Conn) {
 			usable = append(usable, cn)
 			continue
 		}
--- a/transport/peers/tunnel.go
+++ b/transport/peers/tunnel.go
@@ -33,8 +33,10 @@
 	TargetRefused
 	// TargetUnreachable: the target could not be reached, or closed the connection at once.
 	TargetUnreachable
-	// TunnelUnavailable: the instance does not reach targets itself, does not know this one, has too
-	// many tunnels, or is shutting down.
+	// TargetUnknown: the instance does not know the target, or does not reach this one directly.
+	TargetUnknown
+	// TunnelUnavailable: the instance does not reach targets itself, has too many tunnels, or is shutting
+	// down.
 	TunnelUnavailable
 )
 
@@ -43,7 +45,8 @@
 
 func (e *TunnelRefusedError) Error() string {
 	text := map[TunnelStatus]string{
-		TargetRefused: "the target refused the connection", TargetUnreachable: "the target was unreachable", TunnelUnavailable: "no tunnel available",
+		TargetRefused: "the target refused the connection", TargetUnreachable: "the target was unreachable",
+		TargetUnknown: "the target was not known or not reached directly", TunnelUnavailable: "no tunnel available",
 	}[e.Status]
 	return "peers: tunnel: " + text
 }
--- a/transport/targetdial/dialer.go
+++ b/transport/targetdial/dialer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,7 @@
 type Dialer struct {
 	config  Config
 	tracker *reach.Tracker
+	closed  atomic.Bool
 
 	mu sync.Mutex
 	// loggedAt is when a failed connection to a target was last logged.
@@ -113,8 +115,8 @@
 // Dial connects to a target.
 func (d *Dialer) Dial(ctx context.Context, t Target) (Conn, error) {
 	route := d.tracker.Route(t.ID)
-	if route.Test {
-		go d.test(t)
+	if route.Probe {
+		go d.probe(t)
 	}
 	r := &race{d: d, target: t, direct: !route.ThroughPeer, askPeers: !route.Known}
 	return r.run(ctx)
@@ -124,7 +126,7 @@
 // direct path works again, or if the instance that it goes through is shutting down.
 func (d *Dialer) Usable(target string, c Conn) bool {
 	if c.Peer == "" {
-		return !d.tracker.Partitioned()
+		return d.tracker.DirectUsable(target)
 	}
 	return d.PeerListed(c) && d.tracker.ThroughPeer(target)
 }
@@ -173,8 +175,11 @@
 // target.
 func (d *Dialer) DialForPeer(ctx context.Context, target string) (net.Conn, peers.TunnelStatus) {
 	t, known := d.config.Board.Snapshot().Targets[target]
-	if !known || d.tracker.ThroughPeer(target) {
+	switch {
+	case d.tracker.Partitioned():
 		return nil, peers.TunnelUnavailable
+	case !known || d.tracker.ThroughPeer(target):
+		return nil, peers.TargetUnknown
 	}
 	conn, err := d.dialDirect(ctx, Target{ID: t.ID, Address: t.Address})
 	switch {
@@ -203,11 +208,11 @@
 	return conn, nil
 }
 
-// test tests a direct path that does not work by a connection without a request.
-func (d *Dialer) test(t Target) {
+// probe tries a direct path that did not work by a connection without a request.
+func (d *Dialer) probe(t Target) {
 	conn, err := d.dialDirect(context.Background(), t)
 	if err != nil {
-		d.tracker.RecordFailed(t.ID)
+		d.tracker.RecordFailed()
 		return
 	}
 	conn.Close()
@@ -221,9 +226,9 @@
 	}
 }
 
-// recordBroken records a broken direct path. If that begins a partition, it tests paths until it ends.
-func (d *Dialer) recordBroken(target string, attemptAt clock.Instant) {
-	if !d.tracker.RecordBroken(target, attemptAt) {
+// recordBroken records a broken direct path. If that begins a partition, it probes paths until it ends.
+func (d *Dialer) recordBroken(target string, attemptAt clock.Instant, silent bool) {
+	if !d.tracker.RecordBroken(target, attemptAt, silent) {
 		return
 	}
 	d.config.Log("partitioned", "target", target)
@@ -235,25 +240,35 @@
 	for _, fn := range notify {
 		fn()
 	}
-	go d.testDuringPartition()
+	go d.probeDuringPartition()
 }
 
-// testPause is the time between two looks whether a test is due.
-const testPause = 50 * time.Millisecond
+// probePause is the time between two looks whether a probe is due.
+const probePause = 50 * time.Millisecond
 
-// testDuringPartition tests the paths to targets, one after the other, until the partition ends.
-func (d *Dialer) testDuringPartition() {
-	for d.tracker.Partitioned() {
-		for _, t := range d.config.Board.Snapshot().Targets {
-			if d.tracker.TestDue() {
-				d.test(Target{ID: t.ID, Address: t.Address})
+// probeDuringPartition probes the paths to targets, one after the other, until the partition ends.
+func (d *Dialer) probeDuringPartition() {
+	for d.tracker.Partitioned() && !d.closed.Load() {
+		if d.tracker.ProbeDue() {
+			if t, ok := anyTarget(d.config.Board.Snapshot().Targets); ok {
+				d.probe(t)
 			}
-			break
 		}
-		time.Sleep(testPause)
+		time.Sleep(probePause)
 	}
 }
 
+// anyTarget returns a random target.
+func anyTarget(targets map[string]view.Target) (Target, bool) {
+	for _, t := range targets {
+		return Target{ID: t.ID, Address: t.Address}, true
+	}
+	return Target{}, false
+}
+
+// Close ends background work.
+func (d *Dialer) Close() { d.closed.Store(true) }
+
 // Prune removes the state of targets that are not listed.
 func (d *Dialer) Prune(listed func(target string) bool) {
 	d.tracker.Prune(listed)
--- a/transport/targetdial/race.go
+++ b/transport/targetdial/race.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/coordination/reach"
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/transport/peers"
 )
@@ -49,9 +50,8 @@
 	directCtx, stopDirect := context.WithCancel(context.WithoutCancel(ctx))
 	peerCtx, stopPeers := context.WithCancel(ctx)
 	defer stopPeers()
-	r.findPeers()
-	r.results = make(chan result, 1+len(r.peers))
-	if len(r.peers) == 0 && !r.d.tracker.Partitioned() {
+	r.results = make(chan result, 1+reach.MaxPeers)
+	if !r.direct && !r.hasPeers() && !r.d.tracker.Partitioned() {
 		r.direct = true
 	}
 	if r.direct {
@@ -91,13 +91,17 @@
 	return Conn{}, r.failure()
 }
 
-// findPeers chooses the instances that may be asked.
-func (r *race) findPeers() {
+// hasPeers reports whether there are instances left that may be asked. The first call chooses them, so
+// that direct connections that work do not pay for it.
+func (r *race) hasPeers() bool {
 	if !r.askPeers || r.d.config.Tunnels == nil {
-		return
+		return false
+	}
+	if r.peers == nil {
+		s := r.d.config.Board.Snapshot()
+		r.peers = r.d.tracker.Peers(r.d.config.Self, s.Targets[r.target.ID], s.Instances)
 	}
-	s := r.d.config.Board.Snapshot()
-	r.peers = r.d.tracker.Peers(r.d.config.Self, s.Targets[r.target.ID], s.Instances)
+	return len(r.peers) > 0
 }
 
 // wantsPeer reports whether another instance should be asked now.
@@ -106,7 +110,7 @@
 	if r.direct && !r.directEnded {
 		asked--
 	}
-	return len(r.peers) > 0 && r.refused+r.unreachable+asked < verdicts
+	return r.refused+r.unreachable+asked < verdicts && r.hasPeers()
 }
 
 func (r *race) start(attempt func() result) {
@@ -115,7 +119,7 @@
 }
 
 func (r *race) startPeer(ctx context.Context) {
-	if len(r.peers) == 0 {
+	if !r.hasPeers() {
 		return
 	}
 	peer := r.peers[0]
@@ -145,6 +149,7 @@
 		r.refused++
 	case errors.As(res.err, &refusal) && refusal.Status == peers.TargetUnreachable:
 		r.unreachable++
+	case errors.As(res.err, &refusal) && refusal.Status == peers.TargetUnknown:
 	case !r.abandoned:
 		r.d.tracker.RecordUnusable(res.peer)
 	}
@@ -180,12 +185,12 @@
 		r.d.recordReached(r.target.ID)
 	case errors.Is(r.directErr, context.Canceled):
 	case r.peerReached && r.directEnded:
-		r.d.recordBroken(r.target.ID, r.attemptAt)
+		r.d.recordBroken(r.target.ID, r.attemptAt, failureReason(r.directErr) == "timeout")
 	case r.peerReached:
 	case negative > 0:
 		r.d.tracker.RecordUnreachable(r.target.ID)
 	case r.directEnded:
-		r.d.tracker.RecordFailed(r.target.ID)
+		r.d.tracker.RecordFailed()
 	}
 }
 
--- a/transport/targetdial/targetdial_test.go
+++ b/transport/targetdial/targetdial_test.go
@@ -215,8 +215,18 @@
 		Eventually(closed, "1s").Should(BeClosed())
 	})
 
+	// Guards against a peer that is not asked any more because it does not know a new target yet.
+	It("asks a peer again after it did not know one target", func() {
+		l.direct, l.tunnel = refuse, tunnelStatus(peers.TargetUnknown)
+		_, err := dial("t1")
+		Expect(err).To(MatchError(ErrUnconfirmed))
+		l.tunnel = tunnelWorks
+		_, err = dial("t2")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("connects for a peer only to listed targets", func() {
 		_, status := d.DialForPeer(context.Background(), "unknown")
-		Expect(status).To(Equal(peers.TunnelUnavailable))
+		Expect(status).To(Equal(peers.TargetUnknown))
 	})
 })
