--- a/transport/front/doc.go
+++ b/transport/front/doc.go
@@ -11,7 +11,9 @@
 // The outcome of an attempt decides whether there is a retry and what the caller gets:
 //
 //	outcome of the attempt                retry              final response
-//	no byte accepted by a connection      yes                503, not executed
+//	no byte accepted by a connection      yes, unless this   503, not executed
+//	                                      instance reaches
+//	                                      no target at all
 //	target reported: not executed         yes, in budget     503, not executed
 //	broken off, or timed out              only if idempotent 502 or 504, unknown
 //	response with a status >= 500         only if idempotent that response
--- a/transport/upstream/doc.go
+++ b/transport/upstream/doc.go
@@ -8,7 +8,8 @@
 //   - ErrOutcomeUnknown, in all other cases: the request may have been executed.
 //
 // It also reports the target's status from the response headers, and, if an attempt broke off,
-// whether the target's process has exited (ErrTargetExited): its address refuses connections.
+// whether the target's process has exited (ErrTargetExited): its address refuses connections. An attempt
+// that failed because this instance is partitioned from all targets says so (ErrPathLost).
 //
 // A connection carries one request at a time. After a response it is reused only if no further
 // bytes have arrived on it. A late response to an earlier request is recognised by its request ID
