Reset connections to targets whose request was given up

A connection that was given up was closed in order: bytes that a partition held up stayed in the socket and reached the target when the partition ended, after the caller had been told that its request was given up, or had left. Such a connection is now reset, which drops them. The new spec failed before: the target saw the end of the stream instead of a reset.

--- a/transport/targetdial/race.go
+++ b/transport/targetdial/race.go
@@ -55,8 +55,8 @@
 		r.direct = true
 	}
 	if r.direct {
-		r.start(func() result { conn, err := r.d.dialDirect(directCtx, r.target); return result{conn: conn, err: err} })
 		r.attemptAt = r.d.config.Clock.Now()
+		r.start(func() result { conn, err := r.d.dialDirect(directCtx, r.target); return result{conn: conn, err: err} })
 	} else {
 		r.startPeer(peerCtx)
 	}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -147,7 +147,7 @@
 	stopCheck()
 	c.pool.endExchange(conn)
 	if !stop() || err != nil && !errors.Is(err, ErrNotExecuted) {
-		c.pool.discard(t.ID, conn)
+		c.pool.discardWithReset(t.ID, conn)
 		if err == nil {
 			return resp, nil
 		}
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -200,6 +201,15 @@
 	p.countClosed(id)
 }
 
+// discardWithReset closes a connection with a reset: bytes of the request that have not arrived are
+// dropped, and do not reach the target when a partition ends.
+func (p *Pool) discardWithReset(id string, c *conn) {
+	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	p.discard(id, c)
+}
+
 // recordLostOnIdle records that a request was lost on a connection that had been idle.
 func (p *Pool) recordLostOnIdle(id string) {
 	p.mu.Lock()
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -311,6 +312,20 @@
 		}
 	})
 
+	// Guards against a request that a partition holds up, and that reaches the target after its caller was
+	// told that it was given up.
+	It("resets the connection of a request that was given up", func() {
+		ended := make(chan error, 1)
+		t := startTarget(func(conn net.Conn, _ *http.Request, _ int) {
+			var b [1]byte
+			_, err := conn.Read(b[:])
+			ended <- err
+		})
+		_, err := newClient().Do(within(50*time.Millisecond), t.Target, post("1", "b"))
+		Expect(err).To(MatchError(ErrOutcomeUnknown))
+		Eventually(ended, "1s").Should(Receive(MatchError(syscall.ECONNRESET)))
+	})
+
 	It("keeps to its share of the target's connections", func() {
 		block := make(chan struct{})
 		defer close(block)
