Use proxies for link faults only in the tests of partitions

All instances of process tests connected to targets through the proxies that inject link faults. A proxy accepts and resets a connection where a target that has exited refuses it, so that the exit was not recognised. It was not load: the product's path was not the one under test.

Only the specs of partitions start instances with such proxies; the others connect as before, and cover that other instances confirm an exit.

--- a/instance/child_test.go
+++ b/instance/child_test.go
@@ -58,7 +58,9 @@
 		target.Crash = func() { os.Exit(crashCode) }
 		childTarget(target, args[1])
 	case "instance":
-		childInstance(args[0], args[1])
+		childInstance(args[0], args[1], nil)
+	case "instance with link faults":
+		childInstance(args[0], args[1], newTargetLinks())
 	}
 }
 
@@ -99,23 +101,28 @@
 	}
 }
 
-func childInstance(name, platformAddress string) {
+// childInstance runs an instance. If links is not nil, its connections to targets go through them.
+func childInstance(name, platformAddress string, links *targetLinks) {
 	s := settings.Default()
 	s.Name, s.DataCentre, s.Platform = name, "dc-"+name, platformAddress
 	s.Listen, s.Peer, s.Admin, s.Readiness = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.OperatorToken, s.Secret = testSecret, testSecret
 	p := platform.NewWithStoredRules(platformAddress)
-	links := newTargetLinks()
-	p.DialTarget = links.dial
+	if links != nil {
+		p.DialTarget = links.dial
+	}
 	i, err := instance.New(s, p, io.Discard)
 	if err != nil {
 		panic(err)
 	}
 	i.Start()
 	callers, operators := i.Addresses()
-	control := listen()
-	go func() { panic(http.Serve(control, links)) }()
-	fmt.Println(callers, operators, control.Addr())
+	fmt.Println(callers, operators)
+	if links != nil {
+		control := listen()
+		go func() { panic(http.Serve(control, links)) }()
+		fmt.Println(control.Addr())
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM)
 	<-signals
@@ -127,7 +134,7 @@
 	cmd     *exec.Cmd
 	address string
 	admin   string
-	// linkControl is the address at which an instance takes the faults of its links to targets.
+	// linkControl is the address at which an instance with link faults takes them.
 	linkControl string
 }
 
@@ -151,8 +158,12 @@
 	c := &child{cmd: cmd}
 	_, err = fmt.Fscan(out, &c.address)
 	Expect(err).NotTo(HaveOccurred())
-	if role == "instance" {
-		_, err = fmt.Fscan(out, &c.admin, &c.linkControl)
+	if strings.HasPrefix(role, "instance") {
+		_, err = fmt.Fscan(out, &c.admin)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	if role == "instance with link faults" {
+		_, err = fmt.Fscan(out, &c.linkControl)
 		Expect(err).NotTo(HaveOccurred())
 	}
 	return c
--- a/instance/partition_test.go
+++ b/instance/partition_test.go
@@ -31,7 +31,8 @@
 	linksRefuse linkFault = "refuse"
 )
 
-// targetLinks are the links of an instance to targets, with a proxy in front of each target.
+// targetLinks are the links of an instance to targets, with a proxy in front of each target. A target that
+// has exited resets connections there instead of refusing them.
 type targetLinks struct {
 	mu      sync.Mutex
 	fault   linkFault
@@ -185,7 +186,7 @@
 	// while the other instances can.
 	DescribeTable("serve their callers through other instances",
 		func(fault linkFault) {
-			d := startDeployment()
+			d := startDeploymentOf("instance with link faults")
 			leader := d.leader()
 			cut := (leader + 1) % len(d.instances)
 			f := d.callWhile(time.Now().Add(detectionTime), func() {
@@ -207,7 +208,7 @@
 	// Guards against keys that nobody serves any more because the leader cannot renew the grants.
 	DescribeTable("keep all keys served if the leader is one of them",
 		func(fault linkFault) {
-			d := startDeployment()
+			d := startDeploymentOf("instance with link faults")
 			leader := d.leader()
 			f := d.callWhile(time.Now().Add(detectionTime), func() {
 				d.instances[leader].setLinks(fault)
--- a/instance/process_test.go
+++ b/instance/process_test.go
@@ -27,6 +27,12 @@
 }
 
 func startDeployment() *deployment {
+	GinkgoHelper()
+	return startDeploymentOf("instance")
+}
+
+// startDeploymentOf starts a deployment with instances of the given role.
+func startDeploymentOf(role string) *deployment {
 	GinkgoHelper()
 	d := &deployment{platform: startChild("platform"), targets: map[string]*child{}}
 	_, err := rulestore.Apply(context.Background(), platform.NewStore(d.platform.address), 0, rulestore.Record{Text: examples.Rules})
@@ -35,7 +41,7 @@
 		d.targets[id] = startChild("target", id, d.platform.address)
 	}
 	for _, name := range []string{"e1", "e2", "e3"} {
-		d.instances = append(d.instances, startChild("instance", name, d.platform.address))
+		d.instances = append(d.instances, startChild(role, name, d.platform.address))
 	}
 	for i := range d.instances {
 		Eventually(func() int { return d.book(i, "warm-up", fmt.Sprint("warm", i)).status }, "20s", "50ms").Should(Equal(200))
