Do not take the end of a tunnel for that of a target's response

Cause: a tunnel forwards the bytes of a target's connection as they are. A response without a length ends with its connection. When the process that forwards is killed, the kernel closes its connections in the ordinary way, and the instance at the other end reads the same end of the stream as if the target had closed. TLS does not tell them apart either: crypto/tls returns an end between two records as an ordinary one.

Evidence: in the record of the case a part arrives within 2 ms of the kill of the instance that forwarded it (12.121 killed, 12.123 the caller has 207,993 of 399,987 bytes). A spec that closes the connections of a server as the kernel does reads the part without an error. Ruled out: the target (it went on sending and got a reset), the check of a response's length (none was announced).

Change: the server sends the target's bytes in frames, and an empty frame once the target has closed its connection. Between versions: a server of a version without frames closes the connection, and the client asks again without frames, where the end of the stream never counts as the target's. A client without frames gets the bytes as before. A server that stops resets open tunnels, since such a client reads a mere close as the end of a response: the same fault in an orderly stop, where Server.Close cut tunnels that had not ended. A connection whose tunnel was refused is closed at once.

--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -16,7 +16,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -125,7 +124,9 @@
 	sentAt = c.clock.Now()
 	resp, err := c.exchange(cn, o)
 	if err != nil {
-		closeWithReset(cn)
+		// Parts of an order that are delayed by a network partition are then dropped and do not arrive
+		// when the partition ends.
+		wire.CloseWithReset(cn.Conn.Conn)
 		c.removeClosed(o.Target, cn)
 		return assign.OutcomeUnknown, "", sentAt
 	}
@@ -173,15 +174,6 @@
 	}
 }
 
-// closeWithReset closes a connection with a reset. Parts of an order that are delayed by a network
-// partition are then dropped and do not arrive when the partition ends.
-func closeWithReset(cn *conn) {
-	if tcp, ok := cn.Conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	cn.Close()
-}
-
 func (c *Client) exchange(cn *conn, o assign.Order) (*http.Response, error) {
 	timeout := grantTimeout
 	var path string
--- a/transport/peers/server.go
+++ b/transport/peers/server.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"lycheehall.example/lycheehall/protocol/peerapi"
+	"lycheehall.example/lycheehall/protocol/wire"
 )
 
 // Backend answers the calls of other instances.
@@ -64,7 +65,8 @@
 	rpc      *rpc.Server
 	tunnels  tunnels
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// conns holds the open connections, and whether each is a tunnel.
 	conns  map[net.Conn]bool
 	closed bool
 }
@@ -129,24 +131,36 @@
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = true
+	s.conns[conn] = false
 	return true
 }
 
+// markTunnel records that a connection is a tunnel.
+func (s *Server) markTunnel(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = true
+}
+
 func (s *Server) untrack(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
 
-// Close stops the server and closes its connections.
+// Close stops the server and closes its connections. Tunnels are reset: a response that is cut off must
+// not look complete to a client that does not read frames.
 func (s *Server) Close() {
 	s.cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	s.listener.Close()
-	for conn := range s.conns {
+	for conn, tunnel := range s.conns {
+		if tunnel {
+			wire.CloseWithReset(conn)
+			continue
+		}
 		conn.Close()
 	}
 }
--- a/transport/peers/tunnel.go
+++ b/transport/peers/tunnel.go
@@ -11,9 +11,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/protocol/wire"
 )
 
 // A tunnel is a connection of one instance to a target that another instance makes and whose bytes it
@@ -62,12 +64,22 @@
 )
 
 // tunnelMagic begins the header. No gob stream, and so no net/rpc connection, begins with its first
-// byte: instances of versions without tunnels close the connection at once.
-var tunnelMagic = [4]byte{0xf0, 'l', 'h', 1}
+// byte: instances of versions without tunnels, or without the version of the header, close the
+// connection at once.
+var tunnelMagic = [3]byte{0xf0, 'l', 'h'}
+
+// The versions of a tunnel.
+const (
+	// unframedVersion forwards the bytes of the target as they are.
+	unframedVersion = 1
+	// framedVersion forwards the bytes of the target in frames.
+	framedVersion = 2
+)
 
 // tunnelHeader is the fixed part of a header. The target's ID follows.
 type tunnelHeader struct {
-	Magic [4]byte
+	Magic   [3]byte
+	Version uint8
 	// MaxDelay is TunnelOptions.MaxDelay in milliseconds.
 	MaxDelay uint16
 	IDLength uint16
@@ -86,13 +98,25 @@
 // DialTunnel makes a peer connect to a target, and returns the connection through the peer. The error
 // is a *TunnelRefusedError if the peer answered.
 func (c *Client) DialTunnel(ctx context.Context, address string, o TunnelOptions) (net.Conn, error) {
+	conn, err := c.dialTunnel(ctx, address, o, framedVersion)
+	if errors.Is(err, errClosedUnanswered) {
+		// During a replacement the peer may be of a version without frames.
+		conn, err = c.dialTunnel(ctx, address, o, unframedVersion)
+	}
+	return conn, err
+}
+
+// errClosedUnanswered means that the peer closed the connection in place of an answer.
+var errClosedUnanswered = errors.New("peers: tunnel: closed without an answer")
+
+func (c *Client) dialTunnel(ctx context.Context, address string, o TunnelOptions, version uint8) (net.Conn, error) {
 	conn, err := c.dial(address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	setAckTimeout(conn, ackTimeout)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	tunnel, err := c.openTunnel(conn, o)
+	tunnel, err := c.openTunnel(conn, o, version)
 	if !stop() {
 		err = fmt.Errorf("%w: %w", ErrNoReply, ctx.Err())
 	}
@@ -104,56 +128,65 @@
 }
 
 // openTunnel sends the header on a new connection and reads the answer.
-func (c *Client) openTunnel(conn net.Conn, o TunnelOptions) (net.Conn, error) {
+func (c *Client) openTunnel(conn net.Conn, o TunnelOptions, version uint8) (net.Conn, error) {
 	secured, err := c.security.secureClient(conn)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	var header bytes.Buffer
 	// Writing to a bytes.Buffer does not fail.
-	_ = binary.Write(&header, binary.BigEndian, tunnelHeader{tunnelMagic, uint16(o.MaxDelay.Milliseconds()), uint16(len(o.Target))})
+	_ = binary.Write(&header, binary.BigEndian, tunnelHeader{tunnelMagic, version, uint16(o.MaxDelay.Milliseconds()), uint16(len(o.Target))})
 	header.WriteString(o.Target)
 	if _, err := secured.Write(header.Bytes()); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	var status [1]byte
-	if _, err := io.ReadFull(secured, status[:]); err != nil {
+	switch _, err := io.ReadFull(secured, status[:]); {
+	case errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET):
+		return nil, fmt.Errorf("%w: %w", ErrNoReply, errClosedUnanswered)
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	if TunnelStatus(status[0]) != TunnelConnected {
 		return nil, &TunnelRefusedError{TunnelStatus(status[0])}
 	}
-	return secured, nil
+	return newTunnelConn(secured, conn, version == framedVersion), nil
 }
 
 // isTunnel reports whether a connection begins with the header of a tunnel.
 func isTunnel(r *bufio.Reader) bool {
-	first, err := r.Peek(len(tunnelMagic))
-	return err == nil && bytes.Equal(first, tunnelMagic[:])
+	first, err := r.Peek(len(tunnelMagic) + 1)
+	if err != nil || !bytes.HasPrefix(first, tunnelMagic[:]) {
+		return false
+	}
+	version := first[len(tunnelMagic)]
+	return version == unframedVersion || version == framedVersion
 }
 
-func readTunnelHeader(r io.Reader) (TunnelOptions, error) {
+func readTunnelHeader(r io.Reader) (o TunnelOptions, version uint8, err error) {
 	var header tunnelHeader
 	if err := binary.Read(r, binary.BigEndian, &header); err != nil {
-		return TunnelOptions{}, fmt.Errorf("peers: tunnel: read header: %w", err)
+		return o, 0, fmt.Errorf("peers: tunnel: read header: %w", err)
 	}
 	if header.IDLength > maxTargetID {
-		return TunnelOptions{}, fmt.Errorf("peers: tunnel: the target's ID has %d bytes", header.IDLength)
+		return o, 0, fmt.Errorf("peers: tunnel: the target's ID has %d bytes", header.IDLength)
 	}
 	id := make([]byte, header.IDLength)
 	if _, err := io.ReadFull(r, id); err != nil {
-		return TunnelOptions{}, fmt.Errorf("peers: tunnel: read header: %w", err)
+		return o, 0, fmt.Errorf("peers: tunnel: read header: %w", err)
 	}
-	return TunnelOptions{Target: string(id), MaxDelay: time.Duration(header.MaxDelay) * time.Millisecond}, nil
+	return TunnelOptions{Target: string(id), MaxDelay: time.Duration(header.MaxDelay) * time.Millisecond}, header.Version, nil
 }
 
 // serveTunnel connects to the target that the header names, and forwards until either side ends.
 func (s *Server) serveTunnel(conn net.Conn, secured net.Conn, reader *bufio.Reader) {
-	o, err := readTunnelHeader(reader)
+	defer conn.Close()
+	o, version, err := readTunnelHeader(reader)
 	if err != nil || reader.Buffered() > 0 {
 		// The client sends nothing before the answer.
 		return
 	}
+	s.markTunnel(conn)
 	if !s.tunnels.begin() {
 		// A write error means that the client has gone.
 		_, _ = secured.Write([]byte{byte(TunnelUnavailable)})
@@ -165,34 +198,42 @@
 		_, _ = secured.Write([]byte{byte(status)})
 		return
 	}
-	defer closeWithReset(target)
+	defer wire.CloseWithReset(target)
 	setKeepAlive(conn)
 	wasPaused := func() bool { return false }
 	if o.MaxDelay > 0 {
 		setAckTimeout(target, o.MaxDelay)
-		pauses := watchPauses(o.MaxDelay, func() { closeWithReset(target) })
+		pauses := watchPauses(o.MaxDelay, func() { wire.CloseWithReset(target) })
 		defer pauses.stop()
 		wasPaused = pauses.detected
 	}
 	if _, err := secured.Write([]byte{byte(TunnelConnected)}); err != nil {
 		return
 	}
-	forwardTunnel(secured, conn, target, wasPaused)
+	forwardTunnel(tunnelClient{secured, conn, version}, target, wasPaused)
+}
+
+// tunnelClient is the server's end of a connection to a client.
+type tunnelClient struct {
+	net.Conn
+	// raw is the connection below encryption.
+	raw     net.Conn
+	version uint8
 }
 
 // forwardTunnel forwards both directions until either side ends. What the client has sent is dropped
 // when the client's side ends; a response that has arrived from the target is still delivered.
-func forwardTunnel(client, clientConn, target net.Conn, wasPaused func() bool) {
+func forwardTunnel(client tunnelClient, target net.Conn, wasPaused func() bool) {
 	var directions sync.WaitGroup
 	directions.Go(func() {
 		_ = forward(target, client, wasPaused)
 		// The target stops working on a request whose connection ends.
-		closeWithReset(target)
+		wire.CloseWithReset(target)
 	})
 	directions.Go(func() {
-		if err := forward(client, target, wasPaused); err != nil {
+		if err := forwardToClient(client, target, wasPaused); err != nil {
 			// A response that is cut off must not look complete.
-			closeWithReset(clientConn)
+			wire.CloseWithReset(client.raw)
 			return
 		}
 		client.Close()
@@ -200,11 +241,23 @@
 	directions.Wait()
 }
 
+// forwardToClient forwards what the target sends, and its end.
+func forwardToClient(client tunnelClient, target net.Conn, wasPaused func() bool) error {
+	if client.version == unframedVersion {
+		return forward(client, target, wasPaused)
+	}
+	frames := newFrameWriter(client)
+	if err := forward(frames, target, wasPaused); err != nil {
+		return err
+	}
+	return frames.end()
+}
+
 // errTunnelDelayed means that the process was paused, and holds bytes that are too old.
 var errTunnelDelayed = errors.New("peers: tunnel: held up for too long")
 
 // forward copies from one connection to another until the end of the stream.
-func forward(to, from net.Conn, wasPaused func() bool) error {
+func forward(to io.Writer, from io.Reader, wasPaused func() bool) error {
 	buf := make([]byte, tunnelBufferBytes)
 	for {
 		n, err := from.Read(buf)
@@ -266,14 +319,6 @@
 	close(w.done)
 }
 
-// closeWithReset closes a connection with a reset, so that bytes that have not arrived are dropped.
-func closeWithReset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	conn.Close()
-}
-
 // setKeepAlive makes a connection fail when its peer has become unreachable.
 func setKeepAlive(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -311,6 +356,13 @@
 	}
 }
 
+// refuse refuses new tunnels.
+func (t *tunnels) refuse() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = true
+}
+
 // drain refuses new tunnels and returns a channel that is closed when none is open.
 func (t *tunnels) drain() <-chan struct{} {
 	t.mu.Lock()
@@ -327,6 +379,9 @@
 	return t.none
 }
 
+// RefuseTunnels refuses new tunnels.
+func (s *Server) RefuseTunnels() { s.tunnels.refuse() }
+
 // DrainTunnels refuses new tunnels, and waits until the open ones have ended or ctx ends.
 func (s *Server) DrainTunnels(ctx context.Context) {
 	select {
--- a/transport/peers/tunnel_test.go
+++ b/transport/peers/tunnel_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"lycheehall.example/lycheehall/clock"
+	"lycheehall.example/lycheehall/protocol/wire"
 )
 
 // tunnelTo opens a tunnel to an address through a server that shares the secret.
@@ -100,7 +101,7 @@
 			}
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 			time.Sleep(100 * time.Millisecond)
-			closeWithReset(conn)
+			wire.CloseWithReset(conn)
 		}()
 		conn, err := tunnelTo(server, l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -204,10 +203,8 @@
 // discardWithReset closes a connection with a reset: bytes of the request that have not arrived are
 // dropped, and do not reach the target when a partition ends.
 func (p *Pool) discardWithReset(id string, c *conn) {
-	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	p.discard(id, c)
+	wire.CloseWithReset(c.Conn.Conn)
+	p.countClosed(id)
 }
 
 // recordLostOnIdle records that a request was lost on a connection that had been idle.
