Send no two attempts of a request on one connection

Cause: responses are told apart by the ID of their request, which is the same for all attempts of a request. A target refuses the first attempt and sends that response once more, late. The next attempt goes to the same target, which owns the key, and on the same connection, the one used last. The copy is taken for the response to the second attempt, which the target runs.

Ruled out: the order of responses (the IDs match), the retry budget and the number of attempts (the first refusal was true).

Change: an exchange records its connection among those of its request's attempts, and the pool passes these over. Where the number of connections to the target is reached, an idle one is closed for the new one. A response without an ID belongs to the request only on a connection that has carried no other; else the outcome is unknown.

--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -100,7 +100,7 @@
 	}
 	return &upstream.Request{
 		ID: c.id, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host,
-		Header: header, Body: c.body, Idempotent: c.then.Idempotent, OnBuffer: c.responseBuffered,
+		Header: header, Body: c.body, Idempotent: c.then.Idempotent, OnBuffer: c.responseBuffered, Attempts: &c.connections,
 	}
 }
 
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -12,6 +12,7 @@
 	"lycheehall.example/lycheehall/coordination/view"
 	"lycheehall.example/lycheehall/protocol/rules"
 	"lycheehall.example/lycheehall/transport/membudget"
+	"lycheehall.example/lycheehall/transport/upstream"
 )
 
 const (
@@ -75,6 +76,8 @@
 
 	// identity caches the result of identify.
 	identity *quarantine.Identity
+	// connections are those that carried the attempts.
+	connections upstream.Attempts
 	// exitedTargets are the targets whose process exited while it had the request.
 	exitedTargets []string
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -79,6 +79,8 @@
 	// OnBuffer, if not nil, is called with the size of the buffer for the response, in bytes, each
 	// time one is allocated.
 	OnBuffer func(size int64)
+	// Attempts is shared by the attempts of a caller's request. It is nil if there is only one.
+	Attempts *Attempts
 }
 
 // Response is a target's complete response.
@@ -130,7 +132,7 @@
 
 // Do makes one attempt. The time until the deadline of ctx is sent to the target.
 func (c *Client) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
-	conn := c.pool.take(t.ID, !r.Idempotent)
+	conn := c.pool.take(t.ID, !r.Idempotent, r.Attempts)
 	if conn == nil {
 		var err error
 		if conn, err = c.pool.dial(ctx, t.ID, t.Address, t.MaxConnections); err != nil {
@@ -141,6 +143,7 @@
 	// working on the request.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{client: c, conn: conn, target: t, request: r}
+	r.Attempts.add(conn)
 	c.pool.beginExchange(conn, r.Idempotent)
 	stopCheck := c.checkPathLater(conn, t)
 	resp, err := x.run(ctx)
@@ -292,6 +295,10 @@
 	return sent, nil
 }
 
+// errNoID means that a response without a request's ID came on a connection that has carried other
+// requests: it may be one to any of them.
+var errNoID = errors.New("received a response without the ID of a request")
+
 // readHead reads the head of the response. It skips informational responses and late responses to
 // earlier requests.
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
@@ -304,7 +311,13 @@
 			continue
 		}
 		id := resp.Header.Get(x.client.names.RequestID)
-		if id == "" || id == x.request.ID {
+		if id == x.request.ID {
+			return resp, nil
+		}
+		if id == "" {
+			if x.conn.reused {
+				return nil, errNoID
+			}
 			return resp, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,19 @@
 	idleTimeout time.Duration
 }
 
+// Attempts holds the connections that carried the attempts of a request. Responses are told apart by the
+// ID of their request, which is the same for all its attempts. A target may send a response once more
+// later, so no connection carries two attempts of a request. A nil *Attempts holds none.
+type Attempts struct{ conns []*conn }
+
+func (a *Attempts) used(c *conn) bool { return a != nil && slices.Contains(a.conns, c) }
+
+func (a *Attempts) add(c *conn) {
+	if a != nil {
+		a.conns = append(a.conns, c)
+	}
+}
+
 // Pool caches connections to targets. It is safe for concurrent use.
 type Pool struct {
 	dialer *targetdial.Dialer
@@ -114,16 +128,20 @@
 	return c
 }
 
-// take returns an idle connection, or nil if there is none. A request that is notIdempotent must
-// not be sent on a connection that the target may have dropped without notice.
-func (p *Pool) take(id string, notIdempotent bool) *conn {
+// take returns an idle connection that has carried none of the request's attempts, or nil if there is
+// none. A request that is notIdempotent must not be sent on a connection that the target may have
+// dropped without notice.
+func (p *Pool) take(id string, notIdempotent bool, attempts *Attempts) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.target(id)
 	avoidIdle := notIdempotent && time.Since(t.lastLostOnIdleAt) < avoidIdlePeriod
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
+	for n := len(t.idle) - 1; n >= 0; n-- {
+		c := t.idle[n]
+		if attempts.used(c) {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, n, n+1)
 		age := time.Since(c.idleSince)
 		if age < c.idleTimeout && !(avoidIdle && age > maxIdleWhileAvoiding) && c.reader.Buffered() == 0 && p.dialer.Usable(id, c.Conn) && wire.Reusable(c.Conn.Conn) {
 			return c
@@ -136,10 +154,15 @@
 }
 
 // dial makes a connection. limit is the largest number of connections of this instance to the
-// target; 0 means no limit.
+// target; 0 means no limit. If it is reached, an idle connection is closed, which take has passed over.
 func (p *Pool) dial(ctx context.Context, id, address string, limit int) (*conn, error) {
 	p.mu.Lock()
 	t := p.target(id)
+	if limit > 0 && t.open >= limit && len(t.idle) > 0 {
+		t.idle[0].Close()
+		t.idle = slices.Delete(t.idle, 0, 1)
+		t.open--
+	}
 	if limit > 0 && t.open >= limit {
 		p.mu.Unlock()
 		return nil, fmt.Errorf("%w: all %d allowed connections to target %s are open", ErrNotSent, limit, id)
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -347,7 +347,7 @@
 		defer server.Close()
 		p.target("t1").idle = []*conn{{Conn: targetdial.Conn{Conn: client}, reader: bufio.NewReader(client), idleSince: time.Now().Add(-time.Second), idleTimeout: time.Minute}}
 		p.target("t1").open = 1
-		Expect(p.take("t1", true)).To(BeNil())
+		Expect(p.take("t1", true, nil)).To(BeNil())
 	})
 })
 
