Do not take a late response to an order for that to a release

A target that sends the response to an earlier order once more, when it gets a release, makes the release count as ended while the target still works on requests of the keys. The next owner would be granted them too early.

Change: the response to a release on a connection that has carried another order must have a handover reference, other than that of the response before it. For grants and renewals a copy does no harm: a target that does not hold a key refuses its requests.

--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -92,6 +92,10 @@
 	targetdial.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// used says that the connection has carried an order; lastHandover is the handover reference of the
+	// last response.
+	used         bool
+	lastHandover string
 	// openedAt is a time at which the connection was already open.
 	openedAt clock.Instant
 }
@@ -194,9 +198,25 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(c.names.Target, view.TargetName(o.Target))
-	return cn.roundTrip(req, timeout)
+	resp, err := cn.roundTrip(req, timeout)
+	if err != nil {
+		return nil, err
+	}
+	handover := c.encoder.Handover(resp.Header)
+	late := cn.used && o.Kind == assign.Release && (handover == "" || handover == cn.lastHandover)
+	cn.used, cn.lastHandover = true, handover
+	if late {
+		return nil, errLateResponse
+	}
+	return resp, nil
 }
 
+// errLateResponse means that the response to a release is one to an earlier order. Responses to orders
+// have no ID, and a target may send one once more when it has received the next order. Keys whose release
+// has not ended must not be granted to another target. The response to a release has a handover reference
+// of its own. Copies of others do no harm: a target that does not hold a key refuses its requests.
+var errLateResponse = errors.New("orders: received a late response to an earlier order")
+
 // roundTrip sends a request and reads the complete response.
 func (cn *conn) roundTrip(req *http.Request, timeout time.Duration) (*http.Response, error) {
 	if err := cn.SetDeadline(time.Now().Add(timeout)); err != nil {
