Stop taking requests at a fixed time of a shutdown, whatever the store does

Cause: Stop gave the lease up first, and counted the time until it closes its callers' connections from the end of that. Giving up waits for the store: 0.6 s for a read, 0.3 s for the renewals, and then for a write that had no time limit but the end of the shutdown. The times at which waiting requests are refused and running ones are aborted count from the SIGTERM. After the abort, requests that got an owner and a permit without waiting were still sent.

Evidence: a spec that waits for the close of an idle connection of a stopped leader sees it 4.80 s after the SIGTERM with a store that is silent and 5.60 s with one that takes a second; 2.7 s otherwise. Ruled out: the wait for requests in flight (nothing was under way), the load balancer (the connections were open before).

Change: the lease is given up beside the other steps, each of which begins at a time that counts from the SIGTERM. From 2.7 s on requests are refused also on new connections that net/http leaves open for 5 s, and no tunnel is opened for others. A request that is not expected to end before the abort is refused as not executed, with Retry-After, in place of being sent. The write that gives the lease up has the time limit of a call, is repeated after a lost response with growing pauses, and ends when the lease has expired anyway. As it is now repeated for longer, it compares the term: an instance that has taken the lease again must not mark its later term as vacant.

--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -247,30 +247,37 @@
 	case <-time.After(maxExitWait):
 		return
 	}
-	var err error
-	for range maxGiveUpAttempts {
-		if err = t.markVacant(ctx); !errors.Is(err, store.ErrConflict) {
-			break
+	// Later the lease has expired, and need not be given up.
+	ctx, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	for pause := giveUpRetryAfter; ; pause *= 2 {
+		err := t.markVacant(ctx)
+		if err == nil {
+			return
+		}
+		if sleep(ctx, pause); ctx.Err() != nil {
+			t.c.log("lease-not-given-up", "error", err.Error())
+			return
 		}
-	}
-	if err != nil {
-		t.c.log("lease-not-given-up", "error", err.Error())
 	}
 }
 
-// maxGiveUpAttempts limits the writes that give the lease up. At most one of them conflicts with a
-// change that was already on its way. If a failed write were not repeated, the lease would stay
-// taken for 2.3 s, until it has expired, and nobody would lead.
-const maxGiveUpAttempts = 3
+// giveUpRetryAfter is the first pause after the lease could not be given up; each further one is twice as
+// long. If the write were not repeated
+// after a conflict or a lost response, the lease would stay taken for 2.3 s, until it has expired, and
+// nobody would lead.
+const giveUpRetryAfter = 20 * time.Millisecond
 
-// markVacant marks the lease as vacant in the store if this instance holds it: the holder does not
-// act under it any more.
+// markVacant marks the lease as vacant in the store if this instance holds it in this term: the holder
+// does not act under it any more.
 func (t *term) markVacant(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	s, err := t.c.readStored(ctx)
 	if err != nil {
 		return err
 	}
-	if s.lease.Holder != t.c.config.Self.ID || s.lease.Vacant || s.era != t.stored.era {
+	if s.lease.Holder != t.c.config.Self.ID || s.lease.Term != t.stored.lease.Term || s.lease.Vacant || s.era != t.stored.era {
 		return nil
 	}
 	t.stored.leaseVersion = s.leaseVersion
--- a/coordination/lead/vacate_test.go
+++ b/coordination/lead/vacate_test.go
@@ -174,6 +174,71 @@
 	})
 })
 
+// forgetfulStore loses the responses to its first commits: it applies them and answers only when the call
+// has ended.
+type forgetfulStore struct {
+	*leaseStore
+	losses  int
+	written lease.Row
+}
+
+func (s *forgetfulStore) Scan(ctx context.Context, table, part string) ([]store.Row, uint64, error) {
+	s.row = s.written
+	return s.leaseStore.Scan(ctx, table, part)
+}
+
+func (s *forgetfulStore) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+	version, err := s.leaseStore.Commit(ctx, txn)
+	if err != nil {
+		return version, err
+	}
+	if s.written, err = lease.Decode(txn.Writes[0].Value); err != nil {
+		return 0, err
+	}
+	if s.losses == 0 {
+		return version, nil
+	}
+	s.losses--
+	<-ctx.Done()
+	return 0, store.ErrOutcomeUnknown
+}
+
+var _ = Describe("a leader that gives its lease up", func() {
+	// prepareShutdown stops a leader in term 3, and returns how long that took.
+	prepareShutdown := func(s store.Store) time.Duration {
+		_, all, _ := newFleet(1)
+		c := all["a00"]
+		c.orders, c.store = noOrders{}, s
+		t := c.beginTerm(&storedRows{lease: lease.Row{Holder: c.config.Self.ID, Address: "a00", Term: 3}, leaseVersion: 9}, c.clock.Now())
+		t.retryAt = c.clock.Now().Add(time.Hour)
+		go t.run(context.Background())
+		start := time.Now()
+		c.PrepareShutdown(context.Background())
+		return time.Since(start)
+	}
+	held := func(term uint64) lease.Row { return lease.Row{Holder: "i00.1", Address: "a00", Term: term} }
+
+	// Guards against a leader that waits to the end of its grace period for one response of the store.
+	It("does not wait longer for a lost response than a call may take", func() {
+		s := &forgetfulStore{leaseStore: &leaseStore{version: 9}, losses: 1, written: held(3)}
+		Expect(prepareShutdown(s)).To(BeNumerically("<", callTimeout+500*time.Millisecond))
+		Expect(s.written.Vacant).To(BeTrue())
+	})
+
+	It("does not wait until its lease has expired anyway", func() {
+		s := &forgetfulStore{leaseStore: &leaseStore{version: 9}, losses: 100, written: held(3)}
+		Expect(prepareShutdown(s)).To(BeNumerically("<", lease.Duration+500*time.Millisecond))
+	})
+
+	// Guards against a lease that counts as free while its holder acts: the instance took it again in a
+	// later term while it was still giving the former one up.
+	It("does not mark a later term of its own as vacant", func() {
+		s := &forgetfulStore{leaseStore: &leaseStore{version: 9}, written: held(4)}
+		prepareShutdown(s)
+		Expect(s.written.Vacant).To(BeFalse())
+	})
+})
+
 var _ = Describe("the announcement of a given-up term", func() {
 	It("is not replaced by one for an older term", func() {
 		c := New(Config{Self: view.Instance{ID: "i"}}, clock.System{}, nil, view.NewBoard(clock.System{}), nil, nil, nil, discardLog)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -324,7 +324,7 @@
 
 // Stop shuts the instance down. It first fails the readiness check, serves on until the load
 // balancer has removed the instance, and returns when no request is in flight or the grace period
-// is over.
+// is over. Each step begins at a fixed time after the call, however long others take.
 func (i *Instance) Stop(ctx context.Context) {
 	if !i.shuttingDown.CompareAndSwap(false, true) {
 		return
@@ -336,7 +336,13 @@
 	defer cancel()
 	defer time.AfterFunc(grace-refuseWaitingReserve, i.handler.RefuseWaiting).Stop()
 	defer time.AfterFunc(grace-abortRunningReserve, i.handler.AbortRunning).Stop()
-	i.coordinator.PrepareShutdown(ctx)
+	i.handler.StopSendingBy(time.Now().Add(grace - abortRunningReserve))
+	// The store and other instances may not answer. Callers do not wait for them.
+	leaseGivenUp := make(chan struct{})
+	go func() {
+		defer close(leaseGivenUp)
+		i.coordinator.PrepareShutdown(ctx)
+	}()
 	balancerRemoval := time.NewTimer(balancerRemovalTime)
 	defer balancerRemoval.Stop()
 	select {
@@ -345,11 +351,19 @@
 	}
 	// From here on no request is accepted, not even on open keep-alive connections: a late request
 	// might not get a response before the process is killed.
+	i.log.Event("stop-accepting", "in_flight", i.handler.InFlight())
+	i.handler.RefuseNew()
+	i.peerServer.RefuseTunnels()
 	if err := i.callers.Shutdown(ctx); err != nil {
 		i.log.Event("cut-off", "in_flight", i.handler.InFlight(), "error", err.Error())
 	}
 	// Other instances end the tunnels through this one once it is not listed any more.
 	i.peerServer.DrainTunnels(ctx)
+	select {
+	case <-leaseGivenUp:
+	case <-ctx.Done():
+		i.log.Event("lease-not-given-up", "error", ctx.Err().Error())
+	}
 	i.log.Event("stopped", "in_flight", i.handler.InFlight())
 	i.Close()
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -20,6 +20,7 @@
 	"lycheehall.example/lycheehall/examples"
 	"lycheehall.example/lycheehall/instance"
 	"lycheehall.example/lycheehall/platform"
+	"lycheehall.example/lycheehall/platform/standin"
 	"lycheehall.example/lycheehall/settings"
 	"lycheehall.example/lycheehall/state/rulestore"
 	"lycheehall.example/lycheehall/state/store"
@@ -152,6 +153,35 @@
 		Expect(time.Since(start)).To(BeNumerically("<", time.Duration(s.Grace)))
 	})
 
+	// Guards against requests that are taken until the end of a shutdown and broken off while a target works
+	// on them, because the shutdown first waits for a store that does not answer.
+	DescribeTable("stops taking requests at a fixed time when it leads and the store fails", func(faults standin.Faults) {
+		d := startLocalWith(GinkgoTB(), "", settings.Default(), 0)
+		conn, err := net.Dial("tcp", d.callers)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		fmt.Fprint(conn, "GET /plumbers/h-1 HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		d.store.SetFaults(faults)
+		start, stopped := time.Now(), make(chan struct{})
+		go func() { d.instance.Stop(context.Background()); close(stopped) }()
+		Expect(conn.SetReadDeadline(start.Add(10 * time.Second))).To(Succeed())
+		_, err = reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		// The load balancer takes 2.7 s. Requests that are sent until 3 s may be at work at the end.
+		Expect(time.Since(start)).To(BeNumerically("~", 2850*time.Millisecond, 150*time.Millisecond))
+		Eventually(stopped, "6s").Should(BeClosed())
+	},
+		Entry("and does not answer", standin.Faults{Unresponsive: true}),
+		Entry("and loses responses", standin.Faults{DropResponses: true}),
+		Entry("and is slow", standin.Faults{Delay: time.Second}),
+		Entry("not at all", standin.Faults{}),
+	)
+
 	// Guards against pipelined requests that get no response because the instance stops. The target
 	// works on them when the instance stops taking requests, 2.7 s after the beginning.
 	It("answers the pipelined requests that it has started before it stops", func() {
--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -30,6 +30,10 @@
 		}
 		return notExecutedResult("no-target", unavailableRetryAfter), c.attempts < maxTotalAttempts && wait.Err() == nil
 	}
+	if c.endsTooLate() {
+		c.h.permits.Release(c.permitReport(p, permit.ResultDropped, 0))
+		return notExecutedResult("stopping", stoppingRetryAfter), false
+	}
 	if res, ok := c.checkQuarantine(); !ok {
 		// The request was quarantined while it waited: it crashed targets at other instances.
 		c.h.permits.Release(c.permitReport(p, permit.ResultDropped, 0))
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -99,6 +99,9 @@
 	if res, ok := c.route(); !ok {
 		return res
 	}
+	if c.h.refuseNew.Load() {
+		return notExecutedResult("stopping", stoppingRetryAfter)
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(c.h.workCtx, cancel)()
@@ -207,6 +210,9 @@
 	defer cancel()
 	defer context.AfterFunc(c.h.waitCtx, cancel)()
 	for {
+		if c.endsTooLate() {
+			return c.withUnknownOutcome(notExecutedResult("stopping", stoppingRetryAfter))
+		}
 		target, res, ok := c.findOwner(wait)
 		if !ok {
 			return c.withUnknownOutcome(res)
@@ -225,6 +231,15 @@
 	}
 }
 
+// endsTooLate reports whether the instance shuts down so soon that a request sent now would be aborted.
+func (c *call) endsTooLate() bool {
+	by := c.h.stopSendingBy.Load()
+	if by == nil {
+		return false
+	}
+	return c.h.waitCtx.Err() != nil || time.Until(*by) < c.h.collector.MeanDuration(c.decision.Rule.Name)
+}
+
 // withUnknownOutcome turns a 503 into a 502 without Retry-After if an earlier attempt may have been
 // executed, since a 503 promises that the request was not executed.
 func (c *call) withUnknownOutcome(res result) result {
--- a/transport/front/handler.go
+++ b/transport/front/handler.go
@@ -79,7 +79,11 @@
 	lastID           atomic.Uint64
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
-	idPrefix         string
+	// refuseNew says that requests that arrive are refused.
+	refuseNew atomic.Bool
+	// stopSendingBy is the time by which targets must have responded; nil while there is none.
+	stopSendingBy atomic.Pointer[time.Time]
+	idPrefix      string
 	// The end of waitCtx refuses requests that wait in this instance, the end of workCtx aborts
 	// those that a target is running.
 	waitCtx, workCtx        context.Context
@@ -111,6 +115,13 @@
 // instances.
 func (h *Handler) DisableKeepAlives() { h.closeConnections.Store(true) }
 
+// RefuseNew refuses all requests that arrive from now on, on open connections too.
+func (h *Handler) RefuseNew() { h.refuseNew.Store(true) }
+
+// StopSendingBy sets the time at which running requests will be aborted. A request that is not expected
+// to end before is refused in place of being sent to a target.
+func (h *Handler) StopSendingBy(t time.Time) { h.stopSendingBy.Store(&t) }
+
 // RefuseWaiting refuses all requests that have not been sent to a target; they are reported as not
 // executed. Otherwise requests that wait for a slot or an owner when the process exits get no
 // response at all.
