Bound what a target can send that is no response

Bytes that are no response may come without end, in a head or in a body, until the connection is closed. http.ReadResponse reads a head of any size into memory, so one target could end an instance. Bodies were read up to 64 MiB each, however many at once, also of responses that could not be passed on: unsigned ones, and those in which the target says that it did not execute the request.

Change: a head has at most 64 KiB, for orders too. A response that is not signed ends the attempt at its head. The body of a refusal is read only if it is announced as short. Responses to other requests are skipped up to 8 MiB. The connection is reset in each case.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,6 +81,7 @@
 	broker       *permitBroker
 	dialer       *targetdial.Dialer
 	pool         *upstream.Pool
+	upstream     *upstream.Client
 	targetStatus *targetstatus.Tracker
 	quarantine   *quarantine.Tracker
 	quota        *quota.Holder
@@ -183,6 +184,8 @@
 		Self: i.self, Clock: i.clock, Dial: i.dialTarget(), Tunnels: i.peerClient, Board: i.board, Log: i.log.Event,
 	})
 	i.pool = upstream.NewPool(i.dialer)
+	i.upstream = upstream.NewClient(i.pool, i.platform.Names)
+	i.upstream.LimitResponses(i.settings.Memory.ReceivedBytes())
 	collector := demand.NewCollector()
 	i.quarantine = quarantine.NewTracker(time.Now)
 	i.quota = quota.NewHolder(i.clock)
@@ -196,7 +199,7 @@
 			Names: i.platform.Names, DataCentre: i.settings.DataCentre, MaxBody: i.settings.MaxBody, Quarantine: i.quarantine, TargetStatus: i.targetStatus,
 			Memory: i.memory, Contended: i.contention.Deployment, Quota: i.quota,
 		},
-		i.clock, i.self.ID, i.board, upstream.NewClient(i.pool, i.platform.Names), i.broker, collector, i.budget, i.log.Event)
+		i.clock, i.self.ID, i.board, i.upstream, i.broker, collector, i.budget, i.log.Event)
 	orderClient := orders.NewClient(i.dialer, i.platform.Encoder, i.platform.Names, i.clock, func() bool { return i.coordinator.Leading() })
 	placeByLateness := func() bool { return i.contention.Deployment(i.board.Snapshot().Rules) }
 	i.coordinator = lead.New(
--- a/instance/reload.go
+++ b/instance/reload.go
@@ -87,5 +87,6 @@
 	i.contention.Set(next.Contention.Mode)
 	i.memoryAuto.Store(next.Memory.Mode == contention.ModeAuto)
 	i.memory.Configure(memoryLimits(next.Memory))
+	i.upstream.LimitResponses(next.Memory.ReceivedBytes())
 	i.log.Event("reload", "changed", true, "needs_restart", needsRestart)
 }
--- /dev/null
+++ b/protocol/wire/response.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+)
+
+// MaxResponseHeadBytes is the size limit of the head of a target's response, in bytes.
+const MaxResponseHeadBytes = 64 << 10
+
+// ErrHeadTooLarge means that a target sent more than MaxResponseHeadBytes that do not end a head.
+var ErrHeadTooLarge = errors.New("wire: the head of the response exceeds the size limit")
+
+// ResponseReader reads responses from a connection. Unlike http.ReadResponse alone it limits the size
+// of a head: a target may send bytes that are no response, without end.
+type ResponseReader struct {
+	*bufio.Reader
+	from *limitedReader
+}
+
+// NewResponseReader returns a reader with a buffer of the given size in bytes.
+func NewResponseReader(r io.Reader, size int) *ResponseReader {
+	from := &limitedReader{from: r, left: math.MaxInt64}
+	return &ResponseReader{Reader: bufio.NewReaderSize(from, size), from: from}
+}
+
+// ReadResponse reads the head of the response to a request. The body is read from the connection.
+func (r *ResponseReader) ReadResponse(req *http.Request) (*http.Response, error) {
+	r.from.left = MaxResponseHeadBytes
+	resp, err := http.ReadResponse(r.Reader, req)
+	exceeded := r.from.left <= 0
+	r.from.left = math.MaxInt64
+	if err != nil && exceeded {
+		return nil, ErrHeadTooLarge
+	}
+	return resp, err
+}
+
+// limitedReader returns ErrHeadTooLarge once the limit is reached.
+type limitedReader struct {
+	from io.Reader
+	left int64
+}
+
+func (r *limitedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := r.from.Read(b[:min(int64(len(b)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -109,6 +109,24 @@
 // ConnectionBytes returns the limit of the memory for the bodies of one connection.
 func (m Memory) ConnectionBytes() int64 { return int64(float64(m.HeldBytes()) * m.ConnectionShare) }
 
+const (
+	// receivedShare is the share of LimitMB for the bodies of the responses that are being received from
+	// targets, whatever the mode. Each may have half of it.
+	receivedShare = 0.125
+	// minReceivedBytes is the least limit of one response, in bytes.
+	minReceivedBytes = 1 << 20
+)
+
+// ReceivedBytes returns the limits of the memory for responses that are being received: all together,
+// and each. They are 0 without a LimitMB.
+func (m Memory) ReceivedBytes() (all, each int64) {
+	if m.LimitMB == 0 {
+		return 0, 0
+	}
+	each = max(minReceivedBytes, int64(m.LimitMB*receivedShare/2*(1<<20)))
+	return 2 * each, each
+}
+
 // Contention says where the decisions for competing kinds of requests are in effect.
 type Contention struct {
 	Mode contention.Mode `toml:"mode" comment:"\"off\", \"auto\" (where a less urgent rule of a service has an aim at least twice as long as a more urgent one) or \"on\"."`
--- a/transport/orders/lateresponse_test.go
+++ b/transport/orders/lateresponse_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -93,4 +94,31 @@
 			Expect(handover).To(Equal(fmt.Sprint("h", n+1)))
 		}
 	})
+
+	// Guards against a leader that runs out of memory because of a target whose bytes do not end.
+	DescribeTable("without end are given up",
+		func(prefix string) {
+			var closed atomic.Bool
+			var sent atomic.Int64
+			address := scriptedTarget(func(conn net.Conn, _ *http.Request, _ int) {
+				fmt.Fprint(conn, prefix)
+				chunk := []byte(strings.Repeat("x", 32<<10))
+				for {
+					n, err := conn.Write(chunk)
+					sent.Add(int64(n))
+					if err != nil {
+						closed.Store(true)
+						return
+					}
+				}
+			})
+			outcome, _, _ := newClient().Do(context.Background(), order(assign.Grant, address))
+			Expect(outcome).To(Equal(assign.OutcomeUnknown))
+			Eventually(closed.Load, "1s").Should(BeTrue())
+			Expect(sent.Load()).To(BeNumerically("<", 16<<20))
+		},
+		Entry("in a status line", ""),
+		Entry("in a header", "HTTP/1.1 200 OK\r\nX: "),
+		Entry("in a body", "HTTP/1.1 200 OK\r\n\r\n"),
+	)
 })
--- a/transport/orders/orders.go
+++ b/transport/orders/orders.go
@@ -10,7 +10,6 @@
 package orders
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -49,6 +48,8 @@
 	// and use up those that a target accepts. With a lower number, a target that responds to only
 	// half of its orders would not get all of them within a hold.
 	maxConcurrentGrants = 4
+	// readBufferBytes is enough for the response to an order, in bytes.
+	readBufferBytes = 4 << 10
 	// idleTimeout is how long an unused connection is kept; targets close theirs after 10 s.
 	idleTimeout = 5 * time.Second
 )
@@ -90,7 +91,7 @@
 // conn is a connection to a target.
 type conn struct {
 	targetdial.Conn
-	reader    *bufio.Reader
+	reader    *wire.ResponseReader
 	idleSince time.Time
 	// used says that the connection has carried an order; lastHandover is the handover reference of the
 	// last response.
@@ -229,7 +230,7 @@
 	if _, err := cn.Write(text.Bytes()); err != nil {
 		return nil, fmt.Errorf("orders: write request: %w", err)
 	}
-	resp, err := http.ReadResponse(cn.reader, req)
+	resp, err := cn.reader.ReadResponse(req)
 	if err != nil {
 		return nil, fmt.Errorf("orders: read response: %w", err)
 	}
@@ -284,7 +285,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("orders: connect to target: %w", err)
 	}
-	cn := &conn{Conn: raw, reader: bufio.NewReader(raw), openedAt: c.clock.Now()}
+	cn := &conn{Conn: raw, reader: wire.NewResponseReader(raw, readBufferBytes), openedAt: c.clock.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.target(o.Target)
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -107,10 +107,13 @@
 }
 
 const (
-	// maxResponseBytes is the size of the largest response body, which is buffered in memory.
-	maxResponseBytes = 64 << 20
-	// maxLateResponses limits how many responses are read in search of the one to this request.
+	// maxNotExecutedBytes is the size of the largest body that is read of a response whose body is not
+	// forwarded.
+	maxNotExecutedBytes = 64 << 10
+	// maxLateResponses limits how many responses are read in search of the one to this request, and
+	// maxLateBytes the sum of their bodies.
 	maxLateResponses = 8
+	maxLateBytes     = 8 << 20
 	// maxSyncWriteBytes is how much of a request is written before the response is awaited. It fits
 	// into the socket buffers, so that the write does not block if the target does not read.
 	maxSyncWriteBytes = 2 << 10
@@ -120,9 +123,10 @@
 
 // Client sends requests to targets.
 type Client struct {
-	pool  *Pool
-	names wire.Names
-	clock clock.Clock
+	pool   *Pool
+	names  wire.Names
+	clock  clock.Clock
+	memory responseMemory
 }
 
 // NewClient returns a client that uses the connections of the pool.
@@ -219,16 +223,34 @@
 		return nil, x.wrapOutcomeUnknown(err)
 	}
 	x.client.pool.dialer.RecordHeard(x.conn.Conn)
-	defer resp.Body.Close()
+	names := x.client.names
+	if resp.Header.Get(names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		return nil, x.notExecuted(resp)
+	}
+	if resp.Header.Get(names.Signature) == "" || resp.Header.Get(names.RequestID) != x.request.ID {
+		return nil, fmt.Errorf("%w: response with status %d is not signed by the target", ErrOutcomeUnknown, resp.StatusCode)
+	}
 	body, err := x.readBody(resp)
-	if errors.Is(err, membudget.ErrTooLarge) {
-		return nil, fmt.Errorf("%w: the response body exceeds the size limit", ErrOutcomeUnknown)
+	if errors.Is(err, membudget.ErrTooLarge) || errors.Is(err, errNoMemory) {
+		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	if err != nil {
 		return nil, x.wrapOutcomeUnknown(err)
 	}
 	x.checkReusable(resp)
-	return x.interpret(resp, body)
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close, TargetStatus: x.targetStatus(resp)}, nil
+}
+
+// notExecuted returns the error for a response in which the target reports that it did not execute the
+// request. Its body is only read if it is short, so that the connection can be reused.
+func (x *exchange) notExecuted(resp *http.Response) error {
+	if resp.ContentLength >= 0 && resp.ContentLength <= maxNotExecutedBytes {
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return x.wrapOutcomeUnknown(err)
+		}
+		x.checkReusable(resp)
+	}
+	return &NotExecutedError{Status: resp.StatusCode, TargetStatus: x.targetStatus(resp)}
 }
 
 // wrapOutcomeUnknown wraps err in ErrOutcomeUnknown, and records whether the connection was lost.
@@ -243,7 +265,12 @@
 		// The Content-Length of a response to HEAD is not that of a body.
 		return nil, nil
 	}
-	return membudget.ReadBody(resp.Body, resp.ContentLength, maxResponseBytes, func(size int64) error {
+	var buffer responseBuffer
+	defer buffer.release(&x.client.memory)
+	return membudget.ReadBody(resp.Body, resp.ContentLength, x.client.memory.maxBody(), func(size int64) error {
+		if err := buffer.grow(&x.client.memory, size); err != nil {
+			return err
+		}
 		if x.request.OnBuffer != nil {
 			x.request.OnBuffer(size)
 		}
@@ -295,15 +322,19 @@
 	return sent, nil
 }
 
-// errNoID means that a response without a request's ID came on a connection that has carried other
-// requests: it may be one to any of them.
-var errNoID = errors.New("received a response without the ID of a request")
+var (
+	// errNoID means that a response without a request's ID came on a connection that has carried other
+	// requests: it may be one to any of them.
+	errNoID         = errors.New("received a response without the ID of a request")
+	errLateTooLarge = errors.New("the responses to other requests exceed the size limit")
+)
 
 // readHead reads the head of the response. It skips informational responses and late responses to
 // earlier requests.
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
+	late := int64(maxLateBytes)
 	for range maxLateResponses {
-		resp, err := http.ReadResponse(x.conn.reader, req)
+		resp, err := x.conn.reader.ReadResponse(req)
 		if err != nil {
 			return nil, err
 		}
@@ -320,7 +351,11 @@
 			}
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		discarded, err := io.Copy(io.Discard, io.LimitReader(resp.Body, late+1))
+		if late -= discarded; err == nil && late < 0 {
+			err = errLateTooLarge
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -343,18 +378,6 @@
 	x.keepAlive = resp.Header.Get("Keep-Alive")
 }
 
-// interpret turns the target's response into a Response or an error.
-func (x *exchange) interpret(resp *http.Response, body []byte) (*Response, error) {
-	names := x.client.names
-	if resp.Header.Get(names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
-		return nil, &NotExecutedError{Status: resp.StatusCode, TargetStatus: x.targetStatus(resp)}
-	}
-	if resp.Header.Get(names.Signature) == "" || resp.Header.Get(names.RequestID) != x.request.ID {
-		return nil, fmt.Errorf("%w: response with status %d is not signed by the target", ErrOutcomeUnknown, resp.StatusCode)
-	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close, TargetStatus: x.targetStatus(resp)}, nil
-}
-
 // targetStatus returns the status that the target reported. If another target now has the address,
 // the status is not that of this one and is ignored.
 func (x *exchange) targetStatus(resp *http.Response) ReportedStatus {
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -48,7 +47,7 @@
 // conn is a connection to a target.
 type conn struct {
 	targetdial.Conn
-	reader *bufio.Reader
+	reader *wire.ResponseReader
 	// reused says that the connection has carried a request before.
 	reused      bool
 	idleSince   time.Time
@@ -175,7 +174,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	connectionsMade.Inc()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: raw, reader: wire.NewResponseReader(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // hasExited reports whether the target's process has exited: nothing listens at its address any
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -345,7 +345,7 @@
 		p.recordLostOnIdle("t1")
 		client, server := net.Pipe()
 		defer server.Close()
-		p.target("t1").idle = []*conn{{Conn: targetdial.Conn{Conn: client}, reader: bufio.NewReader(client), idleSince: time.Now().Add(-time.Second), idleTimeout: time.Minute}}
+		p.target("t1").idle = []*conn{{Conn: targetdial.Conn{Conn: client}, reader: wire.NewResponseReader(client, readBufferBytes), idleSince: time.Now().Add(-time.Second), idleTimeout: time.Minute}}
 		p.target("t1").open = 1
 		Expect(p.take("t1", true, nil)).To(BeNil())
 	})
