Let the soak play late responses, killed peers and stops without the store

Targets of the stand-in now refuse a share of requests, send a share of responses once more where the next one is expected (to orders too), and send long responses without a length. The soak plays these, kills instances that forward such responses to partitioned ones, and stops the leader, which it reads from the store, while the store does not answer.

--- a/cmd/lycheehall-soak/main.go
+++ b/cmd/lycheehall-soak/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -24,6 +25,7 @@
 	targets       int
 	injectedFault string
 	memoryMB      int
+	only          string
 	quiet         bool
 }
 
@@ -40,8 +42,13 @@
 	flaggy.Int(&o.targets, "", "targets", "Number of targets.")
 	flaggy.String(&o.injectedFault, "", "plant", "Injected fault of the targets, which the checks must find: twice, denied, foreign or fence.")
 	flaggy.Int(&o.memoryMB, "", "memory", "Memory of each instance in MiB, which turns its memory budget on; default: off.")
+	flaggy.String(&o.only, "", "only", "The only kind of events: partitions, late-responses, killed-peers or stops; default: all, beside other faults.")
 	flaggy.Bool(&o.quiet, "q", "quiet", "Print only results, not progress.")
 	flaggy.Parse()
+	if o.only != "" && !slices.Contains(soak.Kinds, soak.Kind(o.only)) {
+		fmt.Fprintf(os.Stderr, "lycheehall-soak: --only: %q is not one of %v\n", o.only, soak.Kinds)
+		os.Exit(2)
+	}
 	failed := 0
 	for i := range o.count {
 		if !runSeed(o, o.firstSeed+uint64(i)) {
@@ -68,7 +75,7 @@
 	}
 	result, err := soak.Run(soak.Options{
 		Seed: seed, DeploymentOptions: soak.DeploymentOptions{Instances: o.instances, Targets: o.targets, InjectedFault: o.injectedFault, MemoryMB: o.memoryMB},
-		Length: o.length, ProgramDir: o.programDir, Dir: dir, Progress: progress,
+		Only: soak.Kind(o.only), Length: o.length, ProgramDir: o.programDir, Dir: dir, Progress: progress,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -7,11 +7,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"lycheehall.example/lycheehall/platform"
+	"lycheehall.example/lycheehall/platform/standin"
 )
 
 // Outcome is what a caller can conclude from the response to its request.
@@ -33,6 +35,8 @@
 	Status  int
 	// OwnResponse says whether the response has the ID of this request.
 	OwnResponse bool
+	// Part says whether the body is shorter than the target says.
+	Part bool
 	// Idempotent says whether the request may run twice.
 	Idempotent bool
 	// Instance is the address that the request was sent to. Sent is the time just before that, and
@@ -255,6 +259,9 @@
 	r.Leaving = resp.Header.Get(platform.Headers().Leaving) != ""
 	r.Limited = resp.Header.Get(platform.Headers().Limit) != ""
 	r.Status = resp.StatusCode
+	if length := resp.Header.Get(standin.BodyLengthHeader); length != "" && length != strconv.Itoa(len(body)) {
+		r.Part = true
+	}
 	switch signature := resp.Header.Get(platform.Headers().Signature); {
 	case signature != "":
 		r.Outcome = Answered
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,8 @@
 			violations = append(violations, fmt.Sprintf("%s was refused as not executed with status %d, but ran", id, result.Status))
 		case result.Outcome == Answered && count == 0:
 			violations = append(violations, fmt.Sprintf("%s was answered, but did not run", id))
+		case result.Outcome == Answered && result.Part:
+			violations = append(violations, fmt.Sprintf("%s got a part of its response as a whole one", id))
 		case result.Outcome == Answered && !result.OwnResponse:
 			violations = append(violations, fmt.Sprintf("%s got a response that is not its own", id))
 		}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,11 +8,16 @@
 // responses slowly. In parallel, one target at a time reports in its responses,
 // and nowhere else, that it is leaving; one target at a time reports a limit for all instances
 // together; one data centre at a time is evacuated; and the store is repeatedly restored from a backup.
+// Targets refuse requests and send responses once more, late; instances are killed that forward
+// responses without a length to partitioned ones; and the leader is stopped while the store does not
+// answer. Each of these and the partitions can be played alone.
 //
 // The checks are:
 //   - A request that must not run twice ran at most once.
 //   - A request that was refused as not executed did not run.
 //   - A caller got the response to its own request, with pipelining in the order of its requests.
+//   - No part of a response looks like a whole one.
+//   - No request that is sent to an instance later than 3 s after its SIGTERM runs.
 //   - A request behind a response that closed the connection did not run.
 //   - For each key the fences of the runs never decrease, so that no previous owner began work after
 //     a later one.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,9 +18,9 @@
 type Options struct {
 	Seed uint64
 	DeploymentOptions
-	// OnlyPartitions injects no fault but partitions of instances from all targets. How callers are served
-	// meanwhile is checked only then: other faults have effects of their own.
-	OnlyPartitions bool
+	// Only, if not empty, is the only kind of events that is played: one of Kinds. How callers are served
+	// during partitions is checked only where they are the only kind: others have effects of their own.
+	Only Kind
 	// Length is how long faults are injected.
 	Length time.Duration
 	// ProgramDir is the directory of the built programs. Dir is the directory for logs and records.
@@ -30,6 +30,24 @@
 	Progress func(format string, args ...any)
 }
 
+// Kind is a kind of events that can be played alone.
+type Kind string
+
+// The kinds of events.
+const (
+	// Partitions of instances from all targets.
+	Partitions Kind = "partitions"
+	// LateResponses: targets refuse requests and send responses once more, late.
+	LateResponses Kind = "late-responses"
+	// KilledPeers: instances are killed that forward responses without a length to others.
+	KilledPeers Kind = "killed-peers"
+	// Stops of the leader while the store does not answer.
+	Stops Kind = "stops"
+)
+
+// Kinds are all kinds of events.
+var Kinds = []Kind{Partitions, LateResponses, KilledPeers, Stops}
+
 // Result is the result of a soak run: the number of requests by outcome, the number of faults, and
 // the violations of guarantees.
 type Result struct {
@@ -42,6 +60,8 @@
 	// settleTimeout limits the wait until everything is served, at the start and after the faults. It
 	// covers the longest hold of a grant of keys, a change of the leader and the start of a process.
 	settleTimeout = 25 * time.Second
+	// maxRestartDelay is the longest time from the exit of a process to its restart.
+	maxRestartDelay = 2 * time.Second
 	// maxFaultPause is the longest time between two faults.
 	maxFaultPause = 900 * time.Millisecond
 	// stopTimeout limits the wait for a terminated process to exit before it is killed.
@@ -66,6 +86,7 @@
 	// evacuations has the evacuations that operators have requested.
 	evacuations requestedEvacuations
 	partitions  partitions
+	stops       stops
 }
 
 // Run runs one seed and returns what it has found. An error means that the run itself failed.
@@ -90,15 +111,28 @@
 		return nil, err
 	}
 	s.changes = changes
-	if o.OnlyPartitions {
+	switch o.Only {
+	case Partitions:
 		return s.runPartitions()
+	case LateResponses:
+		return s.runOnly(s.startLateResponses)
+	case KilledPeers:
+		return s.runOnly(s.startKilledPeers)
+	case Stops:
+		return s.runOnly(s.startStops)
 	}
 	stopPartitions := s.startPartitions()
+	stopLateResponses := s.startLateResponses()
+	stopKilledPeers := s.startKilledPeers()
+	stopStops := s.startStops()
 	stopLeaving := s.startLeaving()
 	stopEvacuations := s.startEvacuations()
 	stopLimits := s.startLimits()
 	stopStoreRestores := s.startStoreRestores()
 	s.injectFaults()
+	stopStops()
+	stopKilledPeers()
+	stopLateResponses()
 	s.unfinishedFaults.Wait()
 	stopPartitions()
 	stopStoreRestores()
@@ -121,6 +155,7 @@
 	result.Violations = append(result.Violations, checkLeaving(results, runs, s.interrupted.byInstance(deployment))...)
 	result.Violations = append(result.Violations, checkEvacuations(results, runs, evacuated, s.disconnected.byInstance)...)
 	result.Violations = append(result.Violations, checkColdRate(runs)...)
+	result.Violations = append(result.Violations, checkStops(results, runs, s.stops.list)...)
 	result.Violations = append(result.Violations, checkLimits(results, runs, s.interrupted.byInstance(deployment))...)
 	return result, nil
 }
@@ -151,6 +186,27 @@
 	return result, nil
 }
 
+// runOnly plays one kind of events, and returns the result of the run.
+func (s *soak) runOnly(start func() (finish func())) (*Result, error) {
+	finish := start()
+	time.Sleep(s.Length)
+	finish()
+	s.unfinishedFaults.Wait()
+	result := &Result{Violations: s.changes.Stop()}
+	if err := s.awaitServed("recovery"); err != nil {
+		result.Violations = append(result.Violations, err.Error())
+	}
+	result.Counts = s.callers.Count()
+	results := s.callers.Finish()
+	runs, err := s.deployment.Runs()
+	if err != nil {
+		return nil, err
+	}
+	result.Violations = append(result.Violations, Check(results, runs)...)
+	result.Violations = append(result.Violations, checkStops(results, runs, s.stops.list)...)
+	return result, nil
+}
+
 // runInBackground runs a function in a goroutine. The returned function closes stop and waits until
 // the goroutine has ended.
 func runInBackground(run func(stop <-chan struct{})) (finish func()) {
@@ -234,8 +290,12 @@
 
 // scheduleRestart starts a process again after a random delay, once it has exited.
 func (s *soak) scheduleRestart(p *process, exitTimeout time.Duration) {
+	s.scheduleRestartAfter(p, s.randomUpTo(maxRestartDelay), exitTimeout)
+}
+
+func (s *soak) scheduleRestartAfter(p *process, delay, exitTimeout time.Duration) {
 	reconnected := s.markDisconnected(p)
-	s.scheduleEnd(s.randomUpTo(2*time.Second), func() {
+	s.scheduleEnd(delay, func() {
 		p.awaitExit(exitTimeout)
 		if err := p.start(); err != nil {
 			s.Progress("%v", err)
@@ -265,11 +325,7 @@
 }
 
 func (s *soak) terminate(p *process) string {
-	s.interrupted.add(p)
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGTERM)
-	s.scheduleRestart(p, stopTimeout)
-	return "terminate " + p.name
+	return s.terminateFor(p, s.randomUpTo(maxRestartDelay))
 }
 
 func (s *soak) pause(p *process, longest time.Duration) string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,7 +68,7 @@
 	// Guards against callers that are not served because their instances are partitioned from all targets.
 	It("finds callers served through all partitions of instances from targets", func() {
 		result, err := Run(Options{
-			Seed: 7004, DeploymentOptions: DeploymentOptions{Instances: 5, Targets: 3}, OnlyPartitions: true, Length: 15 * time.Second,
+			Seed: 7004, DeploymentOptions: DeploymentOptions{Instances: 5, Targets: 3}, Only: Partitions, Length: 15 * time.Second,
 			ProgramDir: buildPrograms(), Dir: GinkgoT().TempDir(),
 			Progress: func(format string, args ...any) { GinkgoWriter.Printf(format+"\n", args...) },
 		})
@@ -76,6 +76,23 @@
 		Expect(result.Violations).To(BeEmpty())
 	})
 
+	// Guards against callers that get a part of a response as a whole one, that are told that a request did
+	// not run which ran, or whose requests are taken until the end of a shutdown.
+	DescribeTable("finds no violation in a short run of one kind of events", func(only Kind) {
+		result, err := Run(Options{
+			Seed: 3, DeploymentOptions: DeploymentOptions{Instances: 4, Targets: 4}, Only: only, Length: 9 * time.Second,
+			ProgramDir: buildPrograms(), Dir: GinkgoT().TempDir(),
+			Progress: func(format string, args ...any) { GinkgoWriter.Printf(format+"\n", args...) },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Violations).To(BeEmpty())
+		Expect(result.Counts[Answered]).To(BeNumerically(">", 200))
+	},
+		Entry("late responses", LateResponses),
+		Entry("killed peers", KilledPeers),
+		Entry("stops without the store", Stops),
+	)
+
 	// Guards against requests that were refused for want of memory and ran, and against instances that
 	// do not release the memory of requests that end in a fault.
 	It("finds no violation with little memory for callers that read slowly", func() {
