Send no second request to a target whose address another one has

Cause: targets end and their addresses go to targets of another service while the store can't be read. The keys still belong to the ended target. Each request went there twice and got 421 twice. The repeats were counted for the service of the rule, which has more requests and so a larger budget; the arrivals were the other service's.

Evidence: the request log of the window has 323 requests of the keyed service with two tries at one target, ended as target-refused, and 3 retries of the other service itself. Ruled out: the counting of the budget (repeats of either service alone are within it), retries after failures (5 in the window).

Change: a refusal with status 421 from another target marks the address of the named one as taken. This instance sends nothing more to it there, whichever rule asks, and refuses requests of its keys at once as owner-lost until they have another owner. The same target at another address gets requests again.

--- a/coordination/targetstatus/targetstatus.go
+++ b/coordination/targetstatus/targetstatus.go
@@ -58,9 +58,12 @@
 	pausedUntil clock.Instant
 	// limit is how many requests a second the target accepts from all instances together, as of
 	// limitAt; 0 means no limit.
-	limit     float64
-	limitAt   clock.Instant
-	updatedAt clock.Instant
+	limit   float64
+	limitAt clock.Instant
+	// replacedAt is the address at which another target has responded in place of this one; empty if
+	// none has.
+	replacedAt string
+	updatedAt  clock.Instant
 }
 
 // NewTracker returns a Tracker without statuses. A target accepts requests for the drain time after
@@ -92,6 +95,40 @@
 	return first
 }
 
+// RecordReplaced records that another target has responded at a target's address. It returns false if
+// that was known.
+func (tr *Tracker) RecordReplaced(target, address string) (first bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	s := tr.statusOf(target)
+	first = s.replacedAt != address
+	s.replacedAt, s.updatedAt = address, tr.clock.Now()
+	tr.statuses[target] = s
+	return first
+}
+
+// ReplacedTargets returns the targets at whose present address another one has responded. addressOf
+// returns the address of a target.
+func (tr *Tracker) ReplacedTargets(addressOf func(target string) string) []string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var list []string
+	for id, s := range tr.statuses {
+		if s.replacedAt != "" && s.replacedAt == addressOf(id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Replaced reports whether another target has responded at a target's address. The target itself may be
+// at another one.
+func (tr *Tracker) Replaced(target, address string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return address != "" && tr.statuses[target].replacedAt == address
+}
+
 // statusOf returns the status of a target. The caller must hold the lock.
 func (tr *Tracker) statusOf(target string) status {
 	if s, known := tr.statuses[target]; known {
--- a/transport/front/attempt.go
+++ b/transport/front/attempt.go
@@ -47,6 +47,7 @@
 	c.lastErr = err
 	status := statusOf(resp, err)
 	c.recordTargetStatus(t, status)
+	c.recordReplaced(t, err)
 	if errors.Is(err, upstream.ErrTargetExited) {
 		c.recordTargetExit(t, took)
 	}
--- a/transport/front/call.go
+++ b/transport/front/call.go
@@ -275,7 +275,7 @@
 		if r.Served() && known && c.cannotReassign() {
 			return "", notExecutedResult("owner-leaves", unavailableRetryAfter), false
 		}
-		if r.Lost || r.Owner == "" {
+		if r.Lost || r.Owner == "" || c.h.config.TargetStatus.Replaced(r.Owner, owner.Address) {
 			return "", notExecutedResult("owner-lost", unavailableRetryAfter), false
 		}
 		expected := c.h.collector.MeanDuration(c.decision.Rule.Name)
--- a/transport/front/targetstatus.go
+++ b/transport/front/targetstatus.go
@@ -68,10 +68,20 @@
 }
 
 // isExcluded reports whether the target has been leaving for so long that nothing may be sent to
-// it. That it is leaving is known from the registry, from an evacuation, or from its own responses;
+// it, or another one has its address. That it is leaving is known from the registry, from an evacuation, or from its own responses;
 // while the store is unavailable, only from its responses.
 func (c *call) isExcluded(t view.Target) bool {
-	return c.h.board.Snapshot().Excluded(t, c.h.clock.Now()) || c.h.config.TargetStatus.DrainTimeOver(t.ID)
+	status := c.h.config.TargetStatus
+	return c.h.board.Snapshot().Excluded(t, c.h.clock.Now()) || status.DrainTimeOver(t.ID) || status.Replaced(t.ID, t.Address)
+}
+
+// recordReplaced records that another target has responded at the target's address. Addresses are used
+// again, also while the registry does not say so.
+func (c *call) recordReplaced(t view.Target, err error) {
+	var refused *upstream.NotExecutedError
+	if errors.As(err, &refused) && refused.Replaced && c.h.config.TargetStatus.RecordReplaced(t.ID, t.Address) {
+		c.h.log("target-replaced", "target", t.ID, "service", c.service.Name, "address", t.Address, "request", c.id)
+	}
 }
 
 // awaitPause waits for the end of a short pause that the key's owner has reported. If the pause is
@@ -95,10 +105,11 @@
 }
 
 // targetsToAvoid returns the targets of the service that have reported that they are leaving or a
-// pause, and those that have already had the request.
+// pause, or that another one has replaced, and those that have already had the request.
 func (c *call) targetsToAvoid() []string {
 	list := slices.Clone(c.triedTargets)
-	for _, id := range c.h.config.TargetStatus.TargetsToAvoid() {
+	replaced := c.h.config.TargetStatus.ReplacedTargets(func(id string) string { return c.snapshot.Targets[id].Address })
+	for _, id := range append(c.h.config.TargetStatus.TargetsToAvoid(), replaced...) {
 		if t, known := c.snapshot.Targets[id]; known && t.Service == c.service.Name {
 			list = append(list, id)
 		}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -56,6 +56,8 @@
 type NotExecutedError struct {
 	Status       int
 	TargetStatus ReportedStatus
+	// Replaced says that another target has responded: the address is not the target's any more.
+	Replaced bool
 }
 
 func (e *NotExecutedError) Error() string {
@@ -250,7 +252,9 @@
 		}
 		x.checkReusable(resp)
 	}
-	return &NotExecutedError{Status: resp.StatusCode, TargetStatus: x.targetStatus(resp)}
+	who := resp.Header.Get(x.client.names.RespondingTarget)
+	replaced := resp.StatusCode == http.StatusMisdirectedRequest && who != "" && who != x.target.Name
+	return &NotExecutedError{Status: resp.StatusCode, TargetStatus: x.targetStatus(resp), Replaced: replaced}
 }
 
 // wrapOutcomeUnknown wraps err in ErrOutcomeUnknown, and records whether the connection was lost.
--- a/transport/upstream/lateresponse_test.go
+++ b/transport/upstream/lateresponse_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -100,3 +101,18 @@
 	Entry("belongs to the only request of its connection", 1, func(err error) { Expect(err).To(MatchError(ErrNotExecuted)) }),
 	Entry("is not known to belong to a later one", 2, func(err error) { Expect(err).To(MatchError(ErrOutcomeUnknown)) }),
 )
+
+// Guards against a response of a target that has another one's address and is taken for that one's own.
+var _ = DescribeTable("a refusal with status 421", func(who string, replaced bool) {
+	t := startTarget(func(conn net.Conn, r *http.Request, _ int) {
+		fmt.Fprintf(conn, "HTTP/1.1 421 X\r\nId: 1\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n", who)
+	})
+	_, err := newClient().Do(within(time.Second), t.Target, post("1", "b"))
+	var refused *NotExecutedError
+	Expect(errors.As(err, &refused)).To(BeTrue())
+	Expect(refused.Replaced).To(Equal(replaced))
+},
+	Entry("from another target", "Target-Is: t2\r\n", true),
+	Entry("from the target itself", "Target-Is: t1\r\n", false),
+	Entry("that does not say whom it is from", "", false),
+)
