Keep no connections for the soak's control requests

A target that sends responses once more sends them to control requests too, and net/http logs each one on a kept connection as unsolicited.

--- a/soak/garbles.go
+++ b/soak/garbles.go
@@ -72,8 +72,7 @@
 
 // setGarble sets the shares at all targets that can be reached.
 func (s *soak) setGarble(g standin.Garble) {
-	// A connection that is kept could get a late response.
-	client := http.Client{Timeout: startTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := controlClient()
 	for _, address := range s.deployment.targetAddresses {
 		s.unfinishedFaults.Go(func() {
 			resp, err := client.PostForm("http://"+address+"/standin/garble", url.Values{
@@ -87,3 +86,9 @@
 		})
 	}
 }
+
+// controlClient returns a client for control requests to targets. It keeps no connections: a kept one
+// could get a late response.
+func controlClient() *http.Client {
+	return &http.Client{Timeout: startTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -69,7 +68,7 @@
 
 // setLeaving makes target n report that it is leaving, if it can be reached.
 func (s *soak) setLeaving(n int) {
-	client := http.Client{Timeout: startTimeout}
+	client := controlClient()
 	resp, err := client.Post("http://"+s.deployment.targetAddresses[n]+"/standin/leave", "", nil)
 	if err != nil {
 		// The target is down or paused by another fault.
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"net/url"
 	"slices"
 	"time"
@@ -45,7 +44,7 @@
 
 // setLimit makes target n report a limit, if it can be reached. 0 means no limit.
 func (s *soak) setLimit(n int, perSecond float64) {
-	client := http.Client{Timeout: startTimeout}
+	client := controlClient()
 	resp, err := client.PostForm("http://"+s.deployment.targetAddresses[n]+"/standin/limit", url.Values{"per-second": {fmt.Sprint(perSecond)}})
 	if err != nil {
 		// The target is down or paused by another fault.
--- a/soak/storerestores.go
+++ b/soak/storerestores.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"time"
 )
 
@@ -41,7 +40,7 @@
 
 // postToStore posts to a control path of the store's stand-in.
 func (s *soak) postToStore(path string) {
-	client := http.Client{Timeout: startTimeout}
+	client := controlClient()
 	resp, err := client.Post("http://"+s.deployment.storeAddress+path, "", nil)
 	if err != nil {
 		s.Progress("seed %d: post %s to the store: %v", s.Seed, path, err)
