Allow a part of a response only where its target's process has exited

Nothing tells the end of a response without a length from the end of its target, and the users' rule leaves out what the target itself broke off. The check is as strict for all others: a part counts unless the process of the target that ran the request exited between the beginning of the run and the answer.

--- a/soak/check.go
+++ b/soak/check.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"path/filepath"
 	"slices"
+	"strings"
+	"time"
 
 	"lycheehall.example/lycheehall/platform/standin"
 )
@@ -27,8 +29,6 @@
 			violations = append(violations, fmt.Sprintf("%s was refused as not executed with status %d, but ran", id, result.Status))
 		case result.Outcome == Answered && count == 0:
 			violations = append(violations, fmt.Sprintf("%s was answered, but did not run", id))
-		case result.Outcome == Answered && result.Part:
-			violations = append(violations, fmt.Sprintf("%s got a part of its response as a whole one", id))
 		case result.Outcome == Answered && !result.OwnResponse:
 			violations = append(violations, fmt.Sprintf("%s got a response that is not its own", id))
 		}
@@ -37,6 +37,42 @@
 	return append(violations, checkFences(runs)...)
 }
 
+// exitDelay is how long after the exit of a process it may be noticed.
+const exitDelay = 500 * time.Millisecond
+
+// checkParts returns a violation for each part of a response that looked like a whole one, unless the
+// target's process exited meanwhile: nothing tells the end of a response without a length from that of
+// its target. exits has the times at which the processes of each target exited, by its name.
+func checkParts(results map[string]CallResult, runs []standin.Record, exits map[string][]time.Time) []string {
+	exited := map[string]bool{}
+	for _, run := range runs {
+		r := results[run.Request]
+		name, _, _ := strings.Cut(run.Target, " ")
+		if r.Part && anyBetween(exits[name], time.Unix(0, run.StartedAt), r.Received.Add(exitDelay)) {
+			exited[run.Request] = true
+		}
+	}
+	var violations []string
+	for id, r := range results {
+		if r.Outcome == Answered && r.Part && !exited[id] {
+			violations = append(violations, fmt.Sprintf("%s got a part of its response as a whole one", id))
+		}
+	}
+	slices.Sort(violations)
+	return violations
+}
+
+// targetExits returns the times at which the processes of targets exited, by the targets' names.
+func (d *Deployment) targetExits() map[string][]time.Time {
+	exits := map[string][]time.Time{}
+	for _, p := range d.targets {
+		p.mu.Lock()
+		exits[p.name] = slices.Clone(p.exits)
+		p.mu.Unlock()
+	}
+	return exits
+}
+
 // checkFences checks for each key, with the runs in the order in which they began, that fences never
 // decrease and that they increase from one process to the next. A lower fence shows a target that has
 // lost the key and began work on it after the next owner did. An equal fence of another process shows
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -26,6 +26,8 @@
 	cmd    *exec.Cmd
 	paused bool
 	exited chan struct{}
+	// exits are the times at which the process was found to have exited.
+	exits []time.Time
 }
 
 // start starts the process unless it is running. Two overlapping faults may both start it again: the
@@ -49,6 +51,9 @@
 	go func() {
 		// The exit status is not needed: the checks find what a process failed to do.
 		_ = cmd.Wait()
+		p.mu.Lock()
+		p.exits = append(p.exits, time.Now())
+		p.mu.Unlock()
 		close(ended)
 	}()
 	return nil
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -156,6 +156,7 @@
 	result.Violations = append(result.Violations, checkEvacuations(results, runs, evacuated, s.disconnected.byInstance)...)
 	result.Violations = append(result.Violations, checkColdRate(runs)...)
 	result.Violations = append(result.Violations, checkStops(results, runs, s.stops.list)...)
+	result.Violations = append(result.Violations, checkParts(results, runs, s.deployment.targetExits())...)
 	result.Violations = append(result.Violations, checkLimits(results, runs, s.interrupted.byInstance(deployment))...)
 	return result, nil
 }
@@ -204,6 +205,7 @@
 	}
 	result.Violations = append(result.Violations, Check(results, runs)...)
 	result.Violations = append(result.Violations, checkStops(results, runs, s.stops.list)...)
+	result.Violations = append(result.Violations, checkParts(results, runs, s.deployment.targetExits())...)
 	return result, nil
 }
 
