--- a/soak/soak.go
+++ b/soak/soak.go
@@ -163,22 +163,10 @@
 
 // runPartitions injects partitions of instances from all targets, and returns the result of the run.
 func (s *soak) runPartitions() (*Result, error) {
-	start := time.Now()
-	stopPartitions := s.startPartitions()
-	time.Sleep(s.Length)
-	stopPartitions()
-	period := interval{start, time.Now()}
-	result := &Result{Violations: s.changes.Stop()}
-	if err := s.awaitServed("recovery"); err != nil {
-		result.Violations = append(result.Violations, err.Error())
-	}
-	result.Counts = s.callers.Count()
-	results := s.callers.Finish()
-	runs, err := s.deployment.Runs()
+	result, results, period, err := s.play(s.startPartitions)
 	if err != nil {
 		return nil, err
 	}
-	result.Violations = append(result.Violations, Check(results, runs)...)
 	counts := countDuringPartitions(results, period, &s.partitions, s.deployment.callerAddresses)
 	s.Progress("seed %d: %v", s.Seed, counts)
 	if counts.violated() {
@@ -189,9 +177,18 @@
 
 // runOnly plays one kind of events, and returns the result of the run.
 func (s *soak) runOnly(start func() (finish func())) (*Result, error) {
+	result, _, _, err := s.play(start)
+	return result, err
+}
+
+// play plays one kind of events, and returns the result of the run, those of the callers' requests, and
+// when the events were played.
+func (s *soak) play(start func() (finish func())) (*Result, map[string]CallResult, interval, error) {
+	period := interval{from: time.Now()}
 	finish := start()
 	time.Sleep(s.Length)
 	finish()
+	period.to = time.Now()
 	s.unfinishedFaults.Wait()
 	result := &Result{Violations: s.changes.Stop()}
 	if err := s.awaitServed("recovery"); err != nil {
@@ -201,12 +198,12 @@
 	results := s.callers.Finish()
 	runs, err := s.deployment.Runs()
 	if err != nil {
-		return nil, err
+		return nil, nil, period, err
 	}
 	result.Violations = append(result.Violations, Check(results, runs)...)
 	result.Violations = append(result.Violations, checkStops(results, runs, s.stops.list)...)
 	result.Violations = append(result.Violations, checkParts(results, runs, s.deployment.targetExits())...)
-	return result, nil
+	return result, results, period, nil
 }
 
 // runInBackground runs a function in a goroutine. The returned function closes stop and waits until
