--- a/coordination/lead/commit.go
+++ b/coordination/lead/commit.go
@@ -263,9 +263,8 @@
 }
 
 // giveUpRetryAfter is the first pause after the lease could not be given up; each further one is twice as
-// long. If the write were not repeated
-// after a conflict or a lost response, the lease would stay taken for 2.3 s, until it has expired, and
-// nobody would lead.
+// long. If the write were not repeated after a conflict or a lost response, the lease would stay taken
+// for 2.3 s, until it has expired, and nobody would lead.
 const giveUpRetryAfter = 20 * time.Millisecond
 
 // markVacant marks the lease as vacant in the store if this instance holds it in this term: the holder
--- a/transport/front/targetstatus.go
+++ b/transport/front/targetstatus.go
@@ -68,8 +68,8 @@
 }
 
 // isExcluded reports whether the target has been leaving for so long that nothing may be sent to
-// it, or another one has its address. That it is leaving is known from the registry, from an evacuation, or from its own responses;
-// while the store is unavailable, only from its responses.
+// it, or another one has its address. That it is leaving is known from the registry, from an
+// evacuation, or from its own responses; while the store is unavailable, only from its responses.
 func (c *call) isExcluded(t view.Target) bool {
 	status := c.h.config.TargetStatus
 	return c.h.board.Snapshot().Excluded(t, c.h.clock.Now()) || status.DrainTimeOver(t.ID) || status.Replaced(t.ID, t.Address)
