--- a/review/faultcases/server.go
+++ b/review/faultcases/server.go
@@ -79,11 +79,15 @@
 
 // entry returns the server's entry as the platform's pages show it.
 func (w *server) entry() map[string]any {
-	return map[string]any{
-		"address": w.address, "born": w.born,
-		"info":   map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": w.slots},
-		"status": map[string]any{"state": "ready", "seq-no": w.seq, "cold-remaining": "0ms"},
+	entry := map[string]any{
+		"address": w.address,
+		"info":    map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": w.slots},
+		"status":  map[string]any{"state": "ready", "seq-no": w.seq, "cold-remaining": "0ms"},
 	}
+	if w.s.startTimes {
+		entry["born"] = w.born
+	}
+	return entry
 }
 
 func (w *server) beat() {
