Do not take a response cut by a reset for a whole one

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one system call only. The request is written by a goroutine of its own while the response is read. If the write is told of the reset, the next read returns the end of the stream, and the end of the stream is the end of a response without a length.

Ruled out: a response with a length or in chunks, whose end net/http checks; a reset while nothing is written, which has a spec already.

Change: connections to targets are wrapped. At the end of the stream, Read stops a write in progress and returns its error if that was told that the connection is lost. A write stopped by the deadline has not been told anything, so the end was that of the target; neither has one that fails with EPIPE, which the kernel reports if the target had ended its side before the reset. So whole responses that come early still arrive, also when a reset follows their end.

--- a/protocol/wire/reusable.go
+++ b/protocol/wire/reusable.go
@@ -12,11 +12,11 @@
 //
 // A connection with a method Unread may have received data that it has not returned yet.
 func Reusable(c net.Conn) bool {
-	if wrapped, ok := c.(interface {
-		Unread() bool
-		NetConn() net.Conn
-	}); ok {
-		return !wrapped.Unread() && Reusable(wrapped.NetConn())
+	if buffered, ok := c.(interface{ Unread() bool }); ok && buffered.Unread() {
+		return false
+	}
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return Reusable(wrapped.NetConn())
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
--- a/transport/targetdial/race.go
+++ b/transport/targetdial/race.go
@@ -10,6 +10,7 @@
 	"lycheehall.example/lycheehall/clock"
 	"lycheehall.example/lycheehall/coordination/reach"
 	"lycheehall.example/lycheehall/coordination/view"
+	"lycheehall.example/lycheehall/protocol/wire"
 	"lycheehall.example/lycheehall/transport/peers"
 )
 
@@ -56,7 +57,7 @@
 	}
 	if r.direct {
 		r.attemptAt = r.d.config.Clock.Now()
-		r.start(func() result { conn, err := r.d.dialDirect(directCtx, r.target); return result{conn: conn, err: err} })
+		r.start(func() result { return r.dialDirect(directCtx) })
 	} else {
 		r.startPeer(peerCtx)
 	}
@@ -118,6 +119,14 @@
 	go func() { r.results <- attempt() }()
 }
 
+func (r *race) dialDirect(ctx context.Context) result {
+	conn, err := r.d.dialDirect(ctx, r.target)
+	if err != nil {
+		return result{err: err}
+	}
+	return result{conn: wire.NewDuplex(conn)}
+}
+
 func (r *race) startPeer(ctx context.Context) {
 	if !r.hasPeers() {
 		return
