Do not pass on a reset by a target as its end in a tunnel

What callers saw: the same as without a tunnel, a part of a response without a length as the whole one, if the target reset the connection during an upload and the connection went through another instance.

Cause: that instance forwards the request and the response in two goroutines. The write of the request takes the error of the reset, the read of the response returns the end of the stream, and the instance marks it for its client as the end by the target.

Evidence: a spec in which a target does this fails on the code before (no error for the client). Ruled out: the way between the two instances, where only the marked end of a stream counts.

Change: the connection to the target is a wire.Duplex here too.

Result: the spec passes (20 requests), with all specs of the package under the race detector.

--- a/transport/peers/tunnel.go
+++ b/transport/peers/tunnel.go
@@ -210,7 +210,7 @@
 	if _, err := secured.Write([]byte{byte(TunnelConnected)}); err != nil {
 		return
 	}
-	forwardTunnel(tunnelClient{secured, conn, version}, target, wasPaused)
+	forwardTunnel(tunnelClient{secured, conn, version}, wire.NewDuplex(target), wasPaused)
 }
 
 // tunnelClient is the server's end of a connection to a client.
