Deliver a whole response through a tunnel also during an upload

What callers saw: a 502 in place of a whole response, if the target responded before it had read a long request and the connection went through another instance.

Cause: at the end of the response that instance closed the connection to its client, which still sent the request. Closing a connection with unread bytes resets it and drops what has not been sent, the end of the response among it. And if the request could not be written to the target any more, it reset the target's connection before it had read the rest of the response.

Evidence: two specs, with a target that ends its side and a client that reads late, fail on the code before with an unexpected end.

Change: after the end of the response the connection stays open until its client closes it, at most for a second; what the client still sends is dropped. Clients without frames see the end of the connection at once as before. If a write to the target fails, the other direction goes on to its own end.

--- a/transport/peers/tunnel.go
+++ b/transport/peers/tunnel.go
@@ -221,12 +221,20 @@
 	version uint8
 }
 
+// lingerTimeout is how long a tunnel stays open after the end of the response, so that its client can
+// receive the response: closing a connection drops what has not been sent if the client has sent more
+// than was read.
+const lingerTimeout = time.Second
+
 // forwardTunnel forwards both directions until either side ends. What the client has sent is dropped
 // when the client's side ends; a response that has arrived from the target is still delivered.
 func forwardTunnel(client tunnelClient, target net.Conn, wasPaused func() bool) {
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		_ = forward(target, client, wasPaused)
+		if err := forward(target, client, wasPaused); errors.Is(err, errWrite) {
+			// The target has ended its connection. The other direction forwards what it has sent.
+			_, _ = io.Copy(io.Discard, client)
+		}
 		// The target stops working on a request whose connection ends.
 		wire.CloseWithReset(target)
 	})
@@ -236,7 +244,13 @@
 			wire.CloseWithReset(client.raw)
 			return
 		}
-		client.Close()
+		if client.version == unframedVersion {
+			// Only the end of the connection marks the end of the response.
+			client.Close()
+			return
+		}
+		// An error means that the client has gone.
+		_ = client.SetReadDeadline(time.Now().Add(lingerTimeout))
 	})
 	directions.Wait()
 }
@@ -253,6 +267,9 @@
 	return frames.end()
 }
 
+// errWrite means that the connection that is forwarded to does not take more.
+var errWrite = errors.New("peers: tunnel: write")
+
 // errTunnelDelayed means that the process was paused, and holds bytes that are too old.
 var errTunnelDelayed = errors.New("peers: tunnel: held up for too long")
 
@@ -266,7 +283,7 @@
 				return errTunnelDelayed
 			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				return fmt.Errorf("peers: tunnel: %w", werr)
+				return fmt.Errorf("%w: %w", errWrite, werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
