Reject responses whose status is not one of HTTP

What callers saw: a target in trouble sent a response with status 000. Here net/http ends the connection to the caller without an answer, as it can't write such a status; 600 to 999 reached the caller as they were.

Cause: http.ReadResponse accepts any three characters that are a number of at least 0, also "+20" and "-00". RFC 9110 has 100 to 599. With such a status a response was also believed to be a refusal, and the state of its target and its skipped body as well.

Change: the reader of all responses of targets returns ErrMalformed for a status outside of 100 to 599, so the outcome of the request is unknown, and so is that of an order. The caller gets a 502 on an open connection.

--- a/protocol/wire/response.go
+++ b/protocol/wire/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -11,11 +12,17 @@
 // MaxResponseHeadBytes is the size limit of the head of a target's response, in bytes.
 const MaxResponseHeadBytes = 64 << 10
 
-// ErrHeadTooLarge means that a target sent more than MaxResponseHeadBytes that do not end a head.
-var ErrHeadTooLarge = errors.New("wire: the head of the response exceeds the size limit")
+var (
+	// ErrHeadTooLarge means that a target sent more than MaxResponseHeadBytes that do not end a head.
+	ErrHeadTooLarge = errors.New("wire: the head of the response exceeds the size limit")
+	// ErrMalformed means that a target sent something that is no response according to RFC 9110 and
+	// RFC 9112. Nothing in it can be believed.
+	ErrMalformed = errors.New("wire: malformed response")
+)
 
-// ResponseReader reads responses from a connection. Unlike http.ReadResponse alone it limits the size
-// of a head: a target may send bytes that are no response, without end.
+// ResponseReader reads responses from a connection. It is stricter than http.ReadResponse: it limits the
+// size of a head, since a target may send bytes that are no response without end, and it rejects
+// a status that is not one of HTTP.
 type ResponseReader struct {
 	*bufio.Reader
 	from *limitedReader
@@ -36,7 +43,21 @@
 	if err != nil && exceeded {
 		return nil, ErrHeadTooLarge
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStatus(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// checkStatus returns an error if the status is not one of HTTP.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < 100 || resp.StatusCode > 599 {
+		return fmt.Errorf("%w: status %.3s", ErrMalformed, resp.Status)
+	}
+	return nil
 }
 
 // limitedReader returns ErrHeadTooLarge once the limit is reached.
