Reject responses in which the name of a field is not a token

What callers saw: a target in trouble sent a response with a space in the name of a field, such as "Content-Length : 4". The caller got it as the response, with whatever the connection carried until its end as the body.

Cause: net/http keeps a name with spaces as it is and does not recognise the field, so that the response has no length. RFC 9112 says that nothing may stand between the name and the colon, and that a proxy must remove that or reject the response.

Evidence: the specs fail on the code before for a space in a name, at its end and in the names of trailers, as a success, a refusal, a response to another request and to an order.

--- a/protocol/wire/response.go
+++ b/protocol/wire/response.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MaxResponseHeadBytes is the size limit of the head of a target's response, in bytes.
@@ -22,7 +24,7 @@
 
 // ResponseReader reads responses from a connection. It is stricter than http.ReadResponse: it limits the
 // size of a head, since a target may send bytes that are no response without end, and it rejects
-// a status that is not one of HTTP.
+// malformed heads and trailers.
 type ResponseReader struct {
 	*bufio.Reader
 	from *limitedReader
@@ -49,6 +51,12 @@
 	if err := checkStatus(resp); err != nil {
 		return nil, err
 	}
+	if err := checkNames(resp.Header); err != nil {
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = &trailerChecker{resp.Body, resp}
+	}
 	return resp, nil
 }
 
@@ -60,6 +68,35 @@
 	return nil
 }
 
+// checkNames returns an error if the name of a field is not a token. net/http accepts spaces in names, and
+// does not recognise such a field.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+	}
+	return nil
+}
+
+// trailerChecker is the body of a chunked response. Read returns an error in place of io.EOF if the
+// trailers are malformed.
+type trailerChecker struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailerChecker) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if err := checkNames(b.resp.Trailer); err != nil {
+			return n, err
+		}
+	}
+	return n, err
+}
+
 // limitedReader returns ErrHeadTooLarge once the limit is reached.
 type limitedReader struct {
 	from io.Reader
--- a/protocol/wire/response_test.go
+++ b/protocol/wire/response_test.go
@@ -48,10 +48,15 @@
 	Entry("a status that is not a number", "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n"),
 	Entry("no status", "HTTP/1.1 OK\r\nContent-Length: 0\r\n\r\n"),
 
+	Entry("a space at the end of a name", ok+"Content-Length : 4\r\n\r\nbody"),
+	Entry("a space in a name", ok+"Content Length: 4\r\n\r\nbody"),
+	Entry("a space in front of the first name", ok+" X: 1\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("a tab in a name", ok+"Content-Length\t: 4\r\n\r\nbody"),
 	Entry("a NUL in a name", ok+"X\x00: 1\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("a lone CR in a name", ok+"X\rY: 1\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("a DEL in a name", ok+"X\x7f: 1\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("a name beyond ASCII", ok+"X\xc3\xa9: 1\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("a separator in a name", ok+"X(Y): 1\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("an empty name", ok+": 1\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("no colon", ok+"X\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("a NUL in a value", ok+"X: a\x00b\r\nContent-Length: 4\r\n\r\nbody"),
@@ -72,9 +77,12 @@
 	Entry("a chunk that is too long", ok+"Transfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n"),
 	Entry("a length of a chunk with a sign", ok+"Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n"),
 	Entry("a length of a chunk that ends without CR", ok+"Transfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n"),
+	Entry("a space in the name of a trailer", ok+chunked+"X Y: 1\r\n\r\n"),
+	Entry("a space at the end of the name of a trailer", ok+chunked+"Content-Length : 1\r\n\r\n"),
 	Entry("a control character in the name of a trailer", ok+chunked+"X\x01: 1\r\n\r\n"),
 	Entry("a control character in the value of a trailer", ok+chunked+"X: \x01\r\n\r\n"),
 	Entry("a trailer without a colon", ok+chunked+"X\r\n\r\n"),
+	Entry("a space in the name of an announced trailer", ok+"Trailer: X Y\r\n"+chunked+"\r\n"),
 )
 
 // Guards against whole responses that are rejected.
@@ -104,3 +112,17 @@
 	Entry("with a head larger than the buffer", ok+"X: "+strings.Repeat("x", 20<<10)+"\r\nContent-Length: 4\r\n\r\nbody", "body"),
 	Entry("whose body looks like a header", ok+"Content-Length: 16\r\n\r\nContent-Length :", "Content-Length :"),
 )
+
+// Guards against a response that is judged by the bytes of another one in the same buffer.
+var _ = It("responses that arrive together are checked one by one", func() {
+	reader := wire.NewResponseReader(strings.NewReader(ok+chunked+"\r\n"+ok+"Content-Length: 4\r\n\r\nnext"+ok+"X : 1\r\n\r\n"), 4<<10)
+	for _, expected := range []string{"body", "next"} {
+		resp, err := reader.ReadResponse(nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(expected))
+	}
+	_, err := reader.ReadResponse(nil)
+	Expect(err).To(MatchError(wire.ErrMalformed))
+})
--- a/transport/orders/malformed_test.go
+++ b/transport/orders/malformed_test.go
@@ -37,8 +37,13 @@
 			Expect(handover).To(BeEmpty())
 		}
 	},
+	Entry("space in a name", "HTTP/1.1 200 OK\r\nHandover: h\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
+	Entry("space in front of a colon", "HTTP/1.1 200 OK\r\nHandover: h\r\nContent-Length : 0\r\n\r\n"),
 	Entry("control character in a name", "HTTP/1.1 200 OK\r\nHandover: h\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n"),
+	Entry("space in the name of a trailer", "HTTP/1.1 200 OK\r\nHandover: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Y: 1\r\n\r\n"),
 	Entry("status 000", "HTTP/1.1 000 OK\r\nHandover: h\r\nContent-Length: 0\r\n\r\n"),
+	Entry("another target, space in a name", "HTTP/1.1 421 X\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
+	Entry("higher fence, space in a name", "HTTP/1.1 409 X\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
 	Entry("half a body", "HTTP/1.1 200 OK\r\nHandover: h\r\nContent-Length: 2\r\n\r\n1"),
 )
 
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -38,12 +38,15 @@
 // malformedResponses returns all claims in responses that are malformed in each way.
 func malformedResponses() []TableEntry {
 	entries := []TableEntry{
+		Entry("success, space in the name of a trailer", "HTTP/1.1 200 X\r\n"+claims[0].headers+chunkedBody+"X Y: 1\r\n\r\n"),
 		Entry("success, control character in the name of a trailer", "HTTP/1.1 200 X\r\n"+claims[0].headers+chunkedBody+"X\x01: 1\r\n\r\n"),
 	}
 	for _, c := range claims {
 		entries = append(entries,
 			Entry(c.name+", status 000", c.malformed("000", "")),
 			Entry(c.name+", status 999", c.malformed("999", "")),
+			Entry(c.name+", space in a name", c.malformed("", "X Y: 1\r\n")),
+			Entry(c.name+", space in front of a colon", c.malformed("", "X : 1\r\n")),
 			Entry(c.name+", control character in a name", c.malformed("", "X\x01: 1\r\n")),
 		)
 	}
