--- a/transport/front/malformed_test.go
+++ b/transport/front/malformed_test.go
@@ -85,6 +85,7 @@
 	Entry("space in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: yes\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nbody", endOrdinarily),
 	Entry("space in front of the colon of the length", "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: yes\r\nContent-Length : 4\r\n\r\nbody and more", endOrdinarily),
 	Entry("control character in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: yes\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nbody", endOrdinarily),
+	Entry("folded length", "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: yes\r\nX: 1\r\n Content-Length: 4\r\n\r\nbody and more", endOrdinarily),
 	Entry("refusal with a space in a name", "HTTP/1.1 503 X\r\nId: 1\r\nNot-Run: 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n", endOrdinarily),
 	Entry("a part without a length, then a reset", "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: yes\r\n\r\npart", func(conn *net.TCPConn) {
 		time.Sleep(20 * time.Millisecond)
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -48,6 +48,8 @@
 			Entry(c.name+", space in a name", c.malformed("", "X Y: 1\r\n")),
 			Entry(c.name+", space in front of a colon", c.malformed("", "X : 1\r\n")),
 			Entry(c.name+", control character in a name", c.malformed("", "X\x01: 1\r\n")),
+			Entry(c.name+", folded line", c.malformed("", "X: 1\r\n Y: 2\r\n")),
+			Entry(c.name+", chunks and a length", c.malformed("", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n")),
 		)
 	}
 	return entries
