Reject responses of other versions, and unasked switches of protocols

What callers would see: bytes of another protocol taken for a response. Found by reading RFC 9110 and 9112 beside what http.ReadResponse accepts: any version of one digit each, control characters and lone CRs in the status line. A 101 was skipped like an informational response, although what follows it is not HTTP: a refusal behind it was believed.

Cause: the parser leaves these to its caller.

Evidence: the specs fail on the code before. Handled before: other names in place of HTTP.

Change: the reader accepts major version 1 and no 101, as requests to targets have no Upgrade header, and a status line without control characters other than tabs.

Result: all of them pass, the other specs of the packages too.

--- a/protocol/wire/response.go
+++ b/protocol/wire/response.go
@@ -62,10 +62,17 @@
 	return resp, nil
 }
 
-// checkStatus returns an error if the status is not one of HTTP.
+// checkStatus returns an error if the status line is malformed.
 func checkStatus(resp *http.Response) error {
-	if resp.StatusCode < 100 || resp.StatusCode > 599 {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %s", ErrMalformed, resp.Proto)
+	case resp.StatusCode < 100 || resp.StatusCode > 599:
 		return fmt.Errorf("%w: status %.3s", ErrMalformed, resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: switches to another protocol without having been asked to", ErrMalformed)
+	case !httpguts.ValidHeaderFieldValue(resp.Status):
+		return fmt.Errorf("%w: control characters in the status line", ErrMalformed)
 	}
 	return nil
 }
--- a/transport/upstream/malformed_test.go
+++ b/transport/upstream/malformed_test.go
@@ -45,6 +45,7 @@
 		entries = append(entries,
 			Entry(c.name+", status 000", c.malformed("000", "")),
 			Entry(c.name+", status 999", c.malformed("999", "")),
+			Entry(c.name+", unasked switch of protocols", c.malformed("101", "")),
 			Entry(c.name+", space in a name", c.malformed("", "X Y: 1\r\n")),
 			Entry(c.name+", space in front of a colon", c.malformed("", "X : 1\r\n")),
 			Entry(c.name+", control character in a name", c.malformed("", "X\x01: 1\r\n")),
