Limit the responses being received also without a memory limit

What operators would see: another operator reported a target that sent bytes without end until the caller closed, and a machine that kept them all and ran out of memory. Here that is handled where limit_mb is set, as the deploy template does. Without it, the default, each response was limited to 64 MiB and their number was not.

Cause: the limit of all responses together is a share of limit_mb, and 0 without it.

Change: 256 MiB together without limit_mb, as much as four of the largest responses. Ordinary responses, up to 256 KiB, are received whatever others hold, as before.

Result: the spec of the setting passes, and those of the client with it.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,7 +96,7 @@
 	// Mode says where the limit is in effect. ModeOff is not valid here.
 	Mode contention.Mode `toml:"mode" comment:"\"on\", or \"auto\" (only where the decisions of [contention] are in effect in some service)."`
 	// LimitMB is the memory of the instance in MiB; 0 turns the budget off.
-	LimitMB float64 `toml:"limit_mb" comment:"Memory of this instance in MiB; 0: bodies are not limited."`
+	LimitMB float64 `toml:"limit_mb" comment:"Memory of this instance in MiB; 0: no budget, only responses being received are limited, to 256 MiB together."`
 	// HeldShare is the share of LimitMB for request and response bodies.
 	HeldShare float64 `toml:"held_share" comment:"Share of that for the bodies of requests and responses."`
 	// ConnectionShare is the share of the memory for bodies that one connection of a caller may hold.
@@ -115,13 +115,15 @@
 	receivedShare = 0.125
 	// minReceivedBytes is the least limit of one response, in bytes.
 	minReceivedBytes = 1 << 20
+	// defaultReceivedBytes is the limit of all responses together without a LimitMB, in bytes.
+	defaultReceivedBytes = 256 << 20
 )
 
 // ReceivedBytes returns the limits of the memory for responses that are being received: all together,
-// and each. They are 0 without a LimitMB.
+// and each. each is 0 without a LimitMB, for the largest size that is supported.
 func (m Memory) ReceivedBytes() (all, each int64) {
 	if m.LimitMB == 0 {
-		return 0, 0
+		return defaultReceivedBytes, 0
 	}
 	each = max(minReceivedBytes, int64(m.LimitMB*receivedShare/2*(1<<20)))
 	return 2 * each, each
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -80,6 +80,20 @@
 		Expect(s.Memory.ConnectionBytes()).To(Equal(int64(46 << 18)))
 	})
 
+	// Guards against an instance without a memory limit whose memory is filled by targets that send without
+	// end.
+	DescribeTable("limit the responses that are being received", func(limitMB float64, all, each int64) {
+		m := settings.Default().Memory
+		m.LimitMB = limitMB
+		gotAll, gotEach := m.ReceivedBytes()
+		Expect(gotAll).To(Equal(all))
+		Expect(gotEach).To(Equal(each))
+	},
+		Entry("without a limit of the memory", 0.0, int64(256<<20), int64(0)),
+		Entry("with a limit", 184.0, int64(23<<20), int64(23<<19)),
+		Entry("with a small limit", 1.0, int64(2<<20), int64(1<<20)),
+	)
+
 	It("are rejected with all mistakes at once", func() {
 		err := load("name = \"\"\nmax_body = 0\nsecret = \"x\"\noperator_token = \"y\"\n")
 		for _, field := range []string{"name: ", "max_body: ", "secret: ", "operator_token: "} {
