--- a/soak/garbles.go
+++ b/soak/garbles.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// lateShare, refusedShare and unframedShare are the shares of requests at which targets go wrong.
-	lateShare     = 0.05
-	refusedShare  = 0.25
-	unframedShare = 0.3
+	// lateShare, refusedShare, unframedShare and malformedShare are the shares of requests at which
+	// targets go wrong.
+	lateShare      = 0.05
+	refusedShare   = 0.25
+	unframedShare  = 0.3
+	malformedShare = 0.05
 	// garbleTime is how long targets go wrong, maxGarblePause the longest time between.
 	garbleTime     = 4 * time.Second
 	maxGarblePause = 2 * time.Second
@@ -25,14 +27,14 @@
 	partitionLead = time.Second
 )
 
-// startLateResponses makes all targets refuse requests and send responses once more, late, for a while
-// and then again. The returned function ends that.
+// startLateResponses makes all targets refuse requests, send responses once more, late, and send
+// malformed ones, for a while and then again. The returned function ends that.
 func (s *soak) startLateResponses() (finish func()) {
 	return runInBackground(func(stop <-chan struct{}) {
 		random := rand.New(rand.NewPCG(s.Seed, 8))
 		for sleep(stop, time.Duration(random.Int64N(int64(maxGarblePause)))) {
-			s.Progress("seed %d: targets refuse requests and send responses once more", s.Seed)
-			s.setGarble(standin.Garble{Late: lateShare, Refused: refusedShare})
+			s.Progress("seed %d: targets refuse requests and send responses once more, or malformed ones", s.Seed)
+			s.setGarble(standin.Garble{Late: lateShare, Refused: refusedShare, Malformed: malformedShare})
 			sleep(stop, garbleTime)
 			s.setGarble(standin.Garble{})
 		}
@@ -76,7 +78,7 @@
 	for _, address := range s.deployment.targetAddresses {
 		s.unfinishedFaults.Go(func() {
 			resp, err := client.PostForm("http://"+address+"/standin/garble", url.Values{
-				"late": {fmt.Sprint(g.Late)}, "refused": {fmt.Sprint(g.Refused)}, "unframed": {fmt.Sprint(g.Unframed)},
+				"late": {fmt.Sprint(g.Late)}, "refused": {fmt.Sprint(g.Refused)}, "unframed": {fmt.Sprint(g.Unframed)}, "malformed": {fmt.Sprint(g.Malformed)},
 			})
 			if err != nil {
 				// The target is down or paused by another fault.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,7 +37,7 @@
 const (
 	// Partitions of instances from all targets.
 	Partitions Kind = "partitions"
-	// LateResponses: targets refuse requests and send responses once more, late.
+	// LateResponses: targets refuse requests, and send responses once more, late, or malformed ones.
 	LateResponses Kind = "late-responses"
 	// KilledPeers: instances are killed that forward responses without a length to others.
 	KilledPeers Kind = "killed-peers"
