--- a/transport/targetdial/race.go
+++ b/transport/targetdial/race.go
@@ -119,6 +119,7 @@
 	go func() { r.results <- attempt() }()
 }
 
+// dialDirect makes the direct attempt.
 func (r *race) dialDirect(ctx context.Context) result {
 	conn, err := r.d.dialDirect(ctx, r.target)
 	if err != nil {
--- a/transport/upstream/doc.go
+++ b/transport/upstream/doc.go
@@ -7,6 +7,9 @@
 //   - A Response: it is complete, signed by the target, and belongs to this request.
 //   - ErrOutcomeUnknown, in all other cases: the request may have been executed.
 //
+// A malformed response is none of the first three, whatever it contains. A response without a length is
+// complete only if the target has ended its stream; a reset is no end.
+//
 // It also reports the target's status from the response headers, and, if an attempt broke off,
 // whether the target's process has exited (ErrTargetExited): its address refuses connections. An attempt
 // that failed because this instance is partitioned from all targets says so (ErrPathLost).
